--- /dev/null
+++ b/internal/coordination/dispatch/event.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/ledger"
+)
+
+// Event is an input of a Desk.
+type Event interface{ event() }
+
+// Arrived reports a request.
+type Arrived struct{ Request Request }
+
+// Executed reports the end of an Execute action. The slot is free from now on.
+type Executed struct {
+	ID     RequestID
+	Result Result
+	// Answer is the whole answer of an unrepeatable or delegated request.
+	Answer ledger.Answer
+}
+
+// Vanished reports that nobody awaits the request's answer any longer.
+type Vanished struct{ ID RequestID }
+
+// Relayed reports the home's response to a Relay action.
+type Relayed struct {
+	ID      RequestID
+	Outcome ledger.Outcome
+	Reason  Reason
+	// Held is false if the peer holds no ledger of the ticket's home.
+	Held   bool
+	Answer ledger.Answer
+}
+
+// RelayFailed reports that a Relay action brought no response.
+type RelayFailed struct{ ID RequestID }
+
+// Delegated reports a peer's response to a Delegate action.
+type Delegated struct {
+	ID      RequestID
+	Peer    netip.AddrPort
+	Outcome ledger.Outcome
+	Reason  Reason
+	Answer  ledger.Answer
+}
+
+// DelegateFailed reports that a Delegate action brought no response.
+type DelegateFailed struct {
+	ID   RequestID
+	Peer netip.AddrPort
+	// Sent is false if the request provably never left this agent.
+	Sent bool
+}
+
+// Probed reports that a peer asks for a free slot.
+type Probed struct {
+	Peer  netip.AddrPort
+	Class Class
+}
+
+// Granted reports that a peer holds a slot for this agent.
+type Granted struct {
+	Peer netip.AddrPort
+	// Load is the peer's utilisation in thousandths.
+	Load int
+}
+
+// Declined reports that a peer does not need the slot that it was granted.
+type Declined struct{ Peer netip.AddrPort }
+
+// PeersChanged reports all other agents of the service.
+type PeersChanged struct{ Peers []Peer }
+
+// LoadReported reports what the backend server's endpoints say of it.
+type LoadReported struct {
+	// Load is the reported utilisation in thousandths.
+	Load    int
+	Healthy bool
+}
+
+// StopOrdered starts a planned stop that is bounded by the deadline.
+type StopOrdered struct{ Deadline time.Time }
+
+// HandedOver reports whether a successor adopted the snapshots.
+type HandedOver struct {
+	Peer    netip.AddrPort
+	Adopted bool
+}
+
+// SnapshotReceived reports a snapshot from a stopping peer.
+type SnapshotReceived struct{ Snapshot ledger.Snapshot }
+
+// Elapsed reports that the time of NextWake came.
+type Elapsed struct{}
+
+func (Arrived) event()          {}
+func (Executed) event()         {}
+func (Vanished) event()         {}
+func (Relayed) event()          {}
+func (RelayFailed) event()      {}
+func (Delegated) event()        {}
+func (DelegateFailed) event()   {}
+func (Probed) event()           {}
+func (Granted) event()          {}
+func (Declined) event()         {}
+func (PeersChanged) event()     {}
+func (LoadReported) event()     {}
+func (StopOrdered) event()      {}
+func (HandedOver) event()       {}
+func (SnapshotReceived) event() {}
+func (Elapsed) event()          {}
--- /dev/null
+++ b/internal/state/ledger/ledger_test.go
@@ -0,0 +1,232 @@
+package ledger
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// start is the time at which each test begins.
+var start = time.Unix(1_700_000_000, 0)
+
+// home is the home of the ledger under test.
+var home = Home{Host: netip.MustParseAddrPort("127.0.0.1:8443"), Incarnation: 3}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func TestLedger(t *testing.T) {
+	Convey("Given a ledger with an issued ticket", t, func() {
+		le := New(home, 5, Limits{Entries: 4, Bytes: 64, Window: 128})
+		ti := le.Issue(start)
+		answer := Answer{Status: 201, Body: []byte("booked")}
+
+		Convey("It runs once and its answer is replayed", func() {
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictRun)
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictWait)
+			So(le.Start(ti.Sequence), ShouldBeTrue)
+			So(le.Start(ti.Sequence), ShouldBeFalse)
+			le.Record(ti.Sequence, answer)
+			So(le.Open(start, ti, Digest{1}), ShouldResemble, Opened{Verdict: VerdictReplay, Answer: answer})
+			So(le.Open(start, ti, Digest{2}).Verdict, ShouldEqual, VerdictMismatch)
+		})
+
+		Convey("A refusal is final", func() {
+			le.Open(start, ti, Digest{1})
+			le.Refuse(ti.Sequence)
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictNotRun)
+		})
+
+		Convey("An expired ticket that never ran is NotRun, also after the clock went back", func() {
+			So(le.Open(start.Add(Lifetime), ti, Digest{1}).Verdict, ShouldEqual, VerdictNotRun)
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictNotRun)
+		})
+
+		Convey("An expired ticket that ran is Unknown, also after the clock went back", func() {
+			le.Open(start, ti, Digest{1})
+			le.Start(ti.Sequence)
+			le.Record(ti.Sequence, answer)
+			So(le.Open(start.Add(Lifetime), ti, Digest{1}).Verdict, ShouldEqual, VerdictUnknown)
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictUnknown)
+			So(le.Bytes(), ShouldEqual, 0)
+		})
+
+		Convey("A ticket outside the window is Unknown", func() {
+			for range 1000 {
+				le.Issue(start)
+			}
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictUnknown)
+		})
+
+		Convey("Answers beyond the limit are dropped, the oldest first", func() {
+			le.Open(start, ti, Digest{1})
+			le.Start(ti.Sequence)
+			le.Record(ti.Sequence, Answer{Body: make([]byte, 40)})
+			other := le.Issue(start)
+			le.Open(start, other, Digest{2})
+			le.Start(other.Sequence)
+			le.Record(other.Sequence, Answer{Body: make([]byte, 40)})
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictUnknown)
+			So(le.Open(start, other, Digest{2}).Verdict, ShouldEqual, VerdictReplay)
+		})
+
+		Convey("A full ledger refuses for good", func() {
+			for range 4 {
+				le.Open(start, le.Issue(start), Digest{3})
+			}
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictNotRun)
+			le.Refuse(2)
+			So(le.Open(start, ti, Digest{1}).Verdict, ShouldEqual, VerdictNotRun)
+		})
+	})
+}
+
+func TestArchive(t *testing.T) {
+	Convey("Given the snapshot of a ledger with tickets in every state", t, func() {
+		le := New(home, 5, DefaultLimits())
+		var ts []Ticket
+		for range 5 {
+			ts = append(ts, le.Issue(start))
+		}
+		for _, ti := range ts[1:] {
+			le.Open(start, ti, Digest{byte(ti.Sequence)})
+		}
+		le.Start(ts[2].Sequence)
+		le.Start(ts[3].Sequence)
+		le.Record(ts[3].Sequence, Answer{Status: 201})
+		le.Refuse(ts[4].Sequence)
+		ar := NewArchive()
+		So(ar.Adopt(start, le.Snapshot(1)), ShouldBeTrue)
+		look := func(at int) Verdict { return ar.Look(ts[at], Digest{byte(ts[at].Sequence)}).Verdict }
+
+		Convey("Each ticket has the verdict that its home could still make true", func() {
+			So(look(0), ShouldEqual, VerdictNotRun)
+			So(look(1), ShouldEqual, VerdictUnknown)
+			So(look(2), ShouldEqual, VerdictUnknown)
+			So(look(3), ShouldEqual, VerdictReplay)
+			So(look(4), ShouldEqual, VerdictNotRun)
+			So(le.Open(start, ts[0], Digest{}).Verdict, ShouldEqual, VerdictNotRun)
+			So(le.Issue(start).Valid(), ShouldBeFalse)
+		})
+
+		Convey("A later snapshot replaces it, an earlier one does not", func() {
+			le.Record(ts[2].Sequence, Answer{Status: 202})
+			So(ar.Adopt(start, le.Snapshot(2)), ShouldBeTrue)
+			So(look(2), ShouldEqual, VerdictReplay)
+			So(ar.Adopt(start, le.Snapshot(1)), ShouldBeFalse)
+		})
+
+		Convey("Another digest gets no answer, and other homes are elsewhere", func() {
+			So(ar.Look(ts[3], Digest{99}).Verdict, ShouldEqual, VerdictMismatch)
+			other := ts[3]
+			other.Incarnation++
+			So(ar.Look(other, Digest{}).Verdict, ShouldEqual, VerdictElsewhere)
+		})
+
+		Convey("It is forgotten once its tickets have expired", func() {
+			ar.Sweep(start.Add(Lifetime))
+			So(look(3), ShouldEqual, VerdictElsewhere)
+		})
+	})
+}
+
+// TestLedgerRandomly drives a small ledger through random steps and a clock
+// that jumps, and compares it with a book of what ran and what was promised.
+func TestLedgerRandomly(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		le := New(home, 5, Limits{Entries: 6, Bytes: 100, Window: 64})
+		now := start
+		var ts []Ticket
+		ran, refused, running := map[uint64]int{}, map[uint64]bool{}, map[uint64]bool{}
+		pick := func() Ticket {
+			if len(ts) == 0 {
+				ts = append(ts, le.Issue(now))
+			}
+			return rapid.SampledFrom(ts).Draw(rt, "ticket")
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"Issue": func(*rapid.T) { ts = append(ts, le.Issue(now)) },
+			"Clock": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(-400, 400).Draw(rt, "seconds")) * time.Second)
+			},
+			"Open": func(rt *rapid.T) {
+				ti := pick()
+				op := le.Open(now, ti, Digest{byte(ti.Sequence)})
+				if op.Verdict == VerdictRun && (ran[ti.Sequence] > 0 || refused[ti.Sequence]) {
+					rt.Fatalf("ticket %d runs after it ran or was refused", ti.Sequence)
+				}
+				if op.Verdict == VerdictNotRun {
+					if ran[ti.Sequence] > 0 {
+						rt.Fatalf("ticket %d ran and is refused as not run", ti.Sequence)
+					}
+					refused[ti.Sequence] = true
+				}
+				if op.Verdict == VerdictReplay && op.Answer.Status != int(ti.Sequence) {
+					rt.Fatalf("ticket %d got the answer of %d", ti.Sequence, op.Answer.Status)
+				}
+			},
+			"Start": func(rt *rapid.T) {
+				ti := pick()
+				if !le.Start(ti.Sequence) {
+					return
+				}
+				ran[ti.Sequence]++
+				running[ti.Sequence] = true
+				if ran[ti.Sequence] > 1 || refused[ti.Sequence] {
+					rt.Fatalf("ticket %d started %d times, refused %v", ti.Sequence, ran[ti.Sequence], refused[ti.Sequence])
+				}
+			},
+			"Record": func(*rapid.T) {
+				ti := pick()
+				le.Record(ti.Sequence, Answer{Status: int(ti.Sequence), Body: make([]byte, 30)})
+				delete(running, ti.Sequence)
+			},
+			"Lose": func(*rapid.T) {
+				ti := pick()
+				le.Lose(ti.Sequence)
+				delete(running, ti.Sequence)
+			},
+			"Refuse": func(*rapid.T) {
+				ti := pick()
+				if !running[ti.Sequence] {
+					le.Refuse(ti.Sequence)
+				}
+			},
+			"Archive": func(rt *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(rt, "freeze") > 0 {
+					return
+				}
+				sn := le.Snapshot(1)
+				for _, ti := range ts {
+					verdict := sn.look(ti.Sequence, Digest{byte(ti.Sequence)}).Verdict
+					if verdict == VerdictNotRun {
+						refused[ti.Sequence] = true
+						if ran[ti.Sequence] > 0 {
+							rt.Fatalf("ticket %d ran and its snapshot says not run", ti.Sequence)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkTicketBytes(b *testing.B) {
+	le := New(home, 5, Limits{Entries: 1 << 20, Bytes: 1 << 30, Window: 1 << 20})
+	b.ReportAllocs()
+	for b.Loop() {
+		ti := le.Issue(start)
+		le.Open(start, ti, Digest{1})
+		le.Start(ti.Sequence)
+		le.Record(ti.Sequence, Answer{Status: 201})
+	}
+}
