--- a/internal/coordination/dispatch/drain.go
+++ b/internal/coordination/dispatch/drain.go
@@ -34,7 +34,7 @@
 	heir  netip.AddrPort
 	// timeout ends the wait for the heir.
 	timeout time.Time
-	// number is that of the last snapshot.
+	// number counts the changes of the ledger.
 	number uint64
 	// content counts the changes of the ledger and the archive; sent and kept
 	// are its values in the last snapshot and in the last one adopted.
@@ -114,7 +114,6 @@
 	dr.heir = dr.heirs[0]
 	dr.heirs = dr.heirs[1:]
 	dr.timeout = now.Add(handOverTimeout)
-	dr.number++
 	dr.sent = dr.content
 	own := de.ledger.Snapshot(dr.number)
 	de.emit(HandOver{
@@ -143,7 +142,7 @@
 
 // adopt keeps the snapshot of a stopping peer.
 func (de *Desk) adopt(now time.Time, sn ledger.Snapshot) {
-	if de.archive.Adopt(now, sn) {
+	if sn.Home != de.settings.Home && de.archive.Adopt(now, sn) {
 		de.drain.content++
 	}
 }
--- a/internal/coordination/dispatch/job.go
+++ b/internal/coordination/dispatch/job.go
@@ -26,6 +26,9 @@
 	stageSettled
 )
 
+// peerGrace is how long past the deadline a peer's answer is awaited.
+const peerGrace = 5 * time.Second
+
 // job is a request that this agent has not finished with.
 type job struct {
 	Request
@@ -99,6 +102,7 @@
 	}
 	jo.ledgered = false
 	de.drain.content++
+	de.drain.number++
 	delete(de.leaders, jo.Ticket.Sequence)
 }
 
@@ -175,12 +179,29 @@
 		}
 	case stageRunning:
 		if late {
-			de.respond(jo, Respond{Outcome: ledger.Unknown, Reason: ReasonDeadline, Held: true})
-			de.abandon(now, jo)
+			de.overrun(now, jo)
 		}
 	}
 }
 
+// overrun handles a running job whose deadline passed. The answer of an
+// unrepeatable one is awaited further, for its repeats; that of a peer only for
+// a while, because the peer may be gone.
+func (de *Desk) overrun(now time.Time, jo *job) {
+	de.respond(jo, Respond{Outcome: ledger.Unknown, Reason: ReasonDeadline, Held: true})
+	de.abandon(now, jo)
+	if !jo.remote.IsValid() {
+		return
+	}
+	end := jo.Deadline.Add(peerGrace)
+	if now.Before(end) {
+		de.timers.add(end, jo.ID)
+		return
+	}
+	jo.remote = netip.AddrPort{}
+	de.settle(jo, ledger.Unknown, ReasonPeerLost, ledger.Answer{})
+}
+
 // giveUp settles a job that does not run, or not again.
 func (de *Desk) giveUp(jo *job, reason Reason) {
 	outcome := ledger.NotRun
--- a/internal/coordination/dispatch/market.go
+++ b/internal/coordination/dispatch/market.go
@@ -76,12 +76,12 @@
 
 // seek keeps probes at some peers while requests wait that may move.
 func (de *Desk) seek(now time.Time) {
-	waiting := de.waiting()
+	waiting := de.queues[ClassUrgent].movable + de.queues[ClassDeferrable].movable
 	if waiting == 0 || len(de.peers.takers) == 0 {
 		return
 	}
 	class := ClassDeferrable
-	if de.queues[ClassUrgent].length > 0 {
+	if de.queues[ClassUrgent].movable > 0 {
 		class = ClassUrgent
 	}
 	wanted := min(probeFan*waiting, probeLimit, len(de.peers.takers))
--- a/internal/coordination/dispatch/queue.go
+++ b/internal/coordination/dispatch/queue.go
@@ -9,6 +9,8 @@
 	turns   []netip.Addr
 	callers map[netip.Addr]*line
 	length  int
+	// movable is the number of waiting jobs that a peer may run.
+	movable int
 }
 
 // line holds the jobs of one caller in the order of their arrival.
@@ -33,7 +35,7 @@
 	jo.stage = stageQueued
 	li.jobs = append(li.jobs, jo)
 	li.length++
-	fq.length++
+	fq.count(jo, 1)
 }
 
 // next removes and returns the job whose turn it is and that the filter
@@ -51,7 +53,7 @@
 			fq.turns = append(fq.turns, caller)
 		}
 		if jo != nil {
-			fq.length--
+			fq.count(jo, -1)
 			return jo
 		}
 	}
@@ -60,12 +62,20 @@
 
 // forget accounts for a queued job that left the queue by itself.
 func (fq *fairQueue) forget(jo *job) {
-	fq.length--
+	fq.count(jo, -1)
 	if li, ok := fq.callers[jo.Caller]; ok {
 		li.length--
 	}
 }
 
+// count accounts for a job that came or left.
+func (fq *fairQueue) count(jo *job, change int) {
+	fq.length += change
+	if jo.movable() {
+		fq.movable += change
+	}
+}
+
 // longest returns the caller with the most waiting jobs and their number.
 func (fq *fairQueue) longest() (netip.Addr, int) {
 	var caller netip.Addr
--- a/internal/state/ledger/archive.go
+++ b/internal/state/ledger/archive.go
@@ -76,10 +76,10 @@
 }
 
 // Adopt keeps the snapshot until its tickets have expired by the clock of the
-// holder. It reports false for a snapshot that is older than the one held.
+// holder. It reports false unless the snapshot is newer than the one held.
 func (ar *Archive) Adopt(now time.Time, sn Snapshot) bool {
 	ar.Sweep(now)
-	if held, ok := ar.shelves[sn.Home]; ok && held.snapshot.Number > sn.Number {
+	if held, ok := ar.shelves[sn.Home]; ok && held.snapshot.Number >= sn.Number {
 		return false
 	}
 	ar.shelves[sn.Home] = shelf{snapshot: sn, expiry: now.Add(Lifetime)}
