feat: a thin whole path of separate processes

Cause: nothing could be served yet. Callers speak HTTP/3 through a spraying fabric, balancers without flow state and agents that end the flows; connection IDs carry service, host and incarnation, and envelopes carry the candidate chain under a keyed tag. Result: the test package starts 24 processes (fabric, 3 balancers, 10 agents, 10 backend servers), gets answers for both services, and one flow of 200 requests goes on while a balancer is killed, frozen and gracefully replaced. Left: announcements, steering, configuration and requests are the simplest that serve; their cores follow.

--- /dev/null
+++ b/cmd/balancer.go
@@ -0,0 +1,26 @@
+package cmd
+
+import (
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/balancer"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+)
+
+func balancerCommand() *command {
+	return roleCommand("balancer", "Run a balancer",
+		"Run a balancer: take callers' datagrams from the fabric and forward them to the agents of the service. "+
+			"SIGTERM stops it gracefully, a second one at once; SIGHUP reloads the keys.",
+		settings.DefaultBalancer(), runBalancer)
+}
+
+func runBalancer(ru *run, st settings.Balancer) error {
+	material, err := openKeys(ru, st.Keys)
+	if err != nil {
+		return err
+	}
+	ba, err := balancer.Open(ru, balancer.Config{Balancer: st, Material: material, Board: gauge.NewBoard()})
+	if err != nil {
+		return err
+	}
+	return ba.Run(ru)
+}
--- /dev/null
+++ b/cmd/call.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"context"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/transport/caller"
+)
+
+// callOptions are the options of call.
+type callOptions struct {
+	Service   string            `long:"service" description:"Address of the service" required:"yes"`
+	Authority string            `long:"authority" description:"PEM file of the certificates that the service must be signed by" required:"yes"`
+	Name      string            `long:"name" description:"Name in the service's certificate" default:"localhost"`
+	Method    string            `long:"method" short:"X" description:"Request method" default:"GET"`
+	Header    map[string]string `long:"header" short:"H" description:"Request header as Name:Value"`
+	Body      string            `long:"body" short:"d" description:"Request body"`
+	Count     int               `long:"count" short:"n" description:"Number of requests over the same flow" default:"1"`
+	Within    time.Duration     `long:"within" description:"Time limit of each request" default:"10s"`
+}
+
+func callCommand() *command {
+	op := &callOptions{}
+	return &command{
+		name:    "call",
+		short:   "Call a service as a client",
+		long:    "Send requests to a service over HTTP/3 and print the answers. The argument is the path. Exits with 0 if all were answered, 1 if one failed or was not run, 3 if one's outcome is unknown.",
+		options: op,
+		action:  func(ru *run, args []string) error { return call(ru, op, args) },
+	}
+}
+
+func call(ru *run, op *callOptions, args []string) error {
+	service, err := netip.ParseAddrPort(op.Service)
+	if err != nil {
+		return &exitError{code: ExitUsage, err: errors.Wrap(err, "read service address")}
+	}
+	bundle, err := os.ReadFile(op.Authority)
+	if err != nil {
+		return &exitError{code: ExitUsage, err: errors.Wrap(err, "read authority")}
+	}
+	authority := x509.NewCertPool()
+	authority.AppendCertsFromPEM(bundle)
+	path := "/"
+	if len(args) > 0 {
+		path = args[0]
+	}
+	ca := caller.Open(caller.Config{Service: service, Authority: authority, Name: op.Name})
+	defer ca.Close()
+	for range op.Count {
+		if err := callOnce(ru, ca, op, path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func callOnce(ru *run, ca *caller.Caller, op *callOptions, path string) error {
+	ctx, cancel := context.WithTimeout(ru, op.Within)
+	defer cancel()
+	re, err := http.NewRequestWithContext(ctx, op.Method, path, strings.NewReader(op.Body))
+	if err != nil {
+		return &exitError{code: ExitUsage, err: errors.Wrap(err, "build request")}
+	}
+	for name, value := range op.Header {
+		re.Header.Set(name, value)
+	}
+	answer, err := ca.Do(re)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	fmt.Fprintf(ru.out, "%s %s\n", answer.Status, body)
+	if answer.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("service answered %s", answer.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/log.go
@@ -0,0 +1,19 @@
+package cmd
+
+import (
+	"flag"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+)
+
+// configureLog sets the log's verbosity.
+func configureLog(level int) error {
+	fs := flag.NewFlagSet("log", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	if err := fs.Set("v", strconv.Itoa(level)); err != nil {
+		return errors.Wrap(err, "set log level")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/role.go
@@ -0,0 +1,67 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+)
+
+// settingsOptions are the options of a role that reads a settings file.
+type settingsOptions struct {
+	Settings string `long:"settings" short:"s" description:"Settings file: JSON with comments" required:"yes"`
+}
+
+// roleCommand returns the command of a role that reads its settings over the
+// defaults and runs until the first signal.
+func roleCommand[S any](name, short, long string, defaults S, start func(ru *run, st S) error) *command {
+	op := &settingsOptions{}
+	return &command{
+		name:    name,
+		short:   short,
+		long:    long,
+		options: op,
+		action: func(ru *run, _ []string) error {
+			st, err := settings.Load(op.Settings, defaults)
+			if err != nil {
+				return &exitError{code: ExitUsage, err: err}
+			}
+			return start(ru, st)
+		},
+	}
+}
+
+// openKeys loads the keys and loads them again at each SIGHUP.
+func openKeys(ctx context.Context, ks settings.Keys) (*keys.Store, error) {
+	st, err := keys.Open(keys.Paths(ks))
+	if err != nil {
+		return nil, &exitError{code: ExitUsage, err: err}
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				reloadKeys(st)
+			}
+		}
+	}()
+	return st, nil
+}
+
+func reloadKeys(st *keys.Store) {
+	if err := st.Reload(); err != nil {
+		klog.ErrorS(err, "Keys not reloaded")
+		return
+	}
+	klog.InfoS("Keys reloaded")
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -6,10 +6,16 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
 )
 
 // The exit codes of every command.
@@ -20,20 +26,142 @@
 	ExitFailed = 1
 	// ExitUsage reports a mistake on the command line or in the settings.
 	ExitUsage = 2
+	// ExitUnknown reports a request or change whose outcome is unknown.
+	ExitUnknown = 3
+	// ExitStopped reports a second signal during a graceful shutdown.
+	ExitStopped = 130
 )
 
+// run is what every command needs: its output and the context that ends with
+// the first signal.
+type run struct {
+	context.Context
+	out    io.Writer
+	errOut io.Writer
+}
+
+// exitError carries an exit code other than ExitFailed.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the cause.
+func (er *exitError) Error() string { return er.err.Error() }
+
+// Unwrap returns the cause.
+func (er *exitError) Unwrap() error { return er.err }
+
+// command is one subcommand: its name, its texts, its options and its action.
+type command struct {
+	name    string
+	short   string
+	long    string
+	options any
+	action  func(ru *run, args []string) error
+	// commands are the subcommands below it, if it has any.
+	commands []*command
+}
+
+// globals are the options of every command.
+type globals struct {
+	Verbose int `long:"verbose" short:"v" description:"Log level: 0 for events an operator needs, 1 for refused input, 2 for everything" default:"0"`
+}
+
 // Execute runs the command that the arguments name and returns its exit code.
 func Execute(args []string, out, errOut io.Writer) int {
+	ctx, stop := signalContext()
+	defer stop()
+	gl := &globals{}
 	pa := flags.NewNamedParser("corneltiller", flags.HelpFlag|flags.PassDoubleDash)
+	pa.LongDescription = "corneltiller is a layer-4 load balancer for firms whose customers book and track work."
+	if _, err := pa.AddGroup("Global options", "", gl); err != nil {
+		return report(err, out, errOut)
+	}
+	ru := &run{Context: ctx, out: out, errOut: errOut}
+	if err := addCommands(pa.Command, ru, gl, commands()); err != nil {
+		return report(err, out, errOut)
+	}
 	if _, err := pa.ParseArgs(args); err != nil {
 		return report(err, out, errOut)
 	}
 	return ExitOK
 }
 
+// commands returns all commands in the order in which the help lists them.
+func commands() []*command {
+	return []*command{
+		balancerCommand(),
+		agentCommand(),
+		callCommand(),
+		standinCommand(),
+		versionCommand(),
+	}
+}
+
+func addCommands(parent *flags.Command, ru *run, gl *globals, list []*command) error {
+	for _, co := range list {
+		added, err := parent.AddCommand(co.name, co.short, co.long, &action{command: co, run: ru, globals: gl})
+		if err != nil {
+			return errors.Wrapf(err, "add command %s", co.name)
+		}
+		if co.options != nil {
+			if _, err := added.AddGroup(co.name+" options", "", co.options); err != nil {
+				return errors.Wrapf(err, "add options of %s", co.name)
+			}
+		}
+		if err := addCommands(added, ru, gl, co.commands); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// action runs a command when the parser has found it.
+type action struct {
+	command *command
+	run     *run
+	globals *globals
+}
+
+// Execute runs the command's action.
+func (ac *action) Execute(args []string) error {
+	if ac.command.action == nil {
+		return nil
+	}
+	if err := configureLog(ac.globals.Verbose); err != nil {
+		return err
+	}
+	defer klog.Flush()
+	return ac.command.action(ac.run, args)
+}
+
+// signalContext returns a context that ends with the first signal. The second
+// signal ends the process at once.
+func signalContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		if _, ok := <-signals; !ok {
+			return
+		}
+		cancel()
+		if _, ok := <-signals; ok {
+			os.Exit(ExitStopped)
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(signals)
+		cancel()
+	}
+}
+
 // report prints the error and returns the exit code that it stands for.
 func report(err error, out, errOut io.Writer) int {
-	if fe, ok := err.(*flags.Error); ok {
+	var fe *flags.Error
+	if errors.As(err, &fe) {
 		if fe.Type == flags.ErrHelp {
 			fmt.Fprintln(out, fe.Message)
 			return ExitOK
@@ -41,6 +169,10 @@
 		fmt.Fprintln(errOut, fe.Message)
 		return ExitUsage
 	}
-	fmt.Fprintln(errOut, err)
+	fmt.Fprintln(errOut, "corneltiller:", err)
+	var ee *exitError
+	if errors.As(err, &ee) {
+		return ee.code
+	}
 	return ExitFailed
 }
--- /dev/null
+++ b/cmd/standin.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"fmt"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/standin/backend"
+	"corneltiller.dev/corneltiller/internal/standin/fabric"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+)
+
+func standinCommand() *command {
+	return &command{
+		name:  "standin",
+		short: "Run a stand-in for a part of the platform",
+		long:  "Run a small stand-in for a part of the platform, for trials on one machine.",
+		commands: []*command{
+			standinFabricCommand(),
+			standinBackendCommand(),
+			standinKeysCommand(),
+		},
+	}
+}
+
+func standinFabricCommand() *command {
+	return roleCommand("fabric", "Spray callers' datagrams over balancers",
+		"Listen on the services' addresses and hand each datagram to any balancer that is ready.",
+		fabric.Settings{}, func(ru *run, st fabric.Settings) error {
+			fa, err := fabric.Open(ru, st)
+			if err != nil {
+				return err
+			}
+			return fa.Run(ru)
+		})
+}
+
+func standinBackendCommand() *command {
+	return roleCommand("backend", "Serve as a backend server",
+		"Do the work of requests in a few slots and keep a book of every run, which /Book returns.",
+		backend.Defaults(), func(ru *run, st backend.Settings) error {
+			se, err := backend.Open(ru, st)
+			if err != nil {
+				return err
+			}
+			return se.Run(ru)
+		})
+}
+
+// keysOptions are the options of standin keys.
+type keysOptions struct {
+	Folder string `long:"folder" description:"Folder to write the keys to" default:"settings/keys"`
+}
+
+func standinKeysCommand() *command {
+	op := &keysOptions{}
+	return &command{
+		name:    "keys",
+		short:   "Write throw-away keys",
+		long:    "Write throw-away keys for loopback: an authority, a certificate with its key, and the deployment's secret. They expire after a day.",
+		options: op,
+		action: func(ru *run, _ []string) error {
+			paths, err := keys.Generate(op.Folder, time.Now())
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(ru.out, "%s\n%s\n%s\n%s\n", paths.Authority, paths.Certificate, paths.Key, paths.Secret)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/protocol/label/packet.go
@@ -0,0 +1,44 @@
+package label
+
+// The parts of a QUIC packet that don't change between versions (RFC 8999).
+const (
+	longHeaderBit     = 0x80
+	fixedBit          = 0x40
+	longHeaderMinimum = 7
+	destinationOffset = 6
+	maxIDLength       = 20
+)
+
+// Packet is the routing part of a QUIC packet.
+type Packet struct {
+	// Long tells a long header, which only packets of the handshake have.
+	Long bool
+	// Destination is the destination connection ID, a part of the datagram.
+	Destination []byte
+}
+
+// Parse reads the destination connection ID of the first QUIC packet of a
+// datagram (RFC 8999, section 5). It returns false for anything else.
+func Parse(datagram []byte) (Packet, bool) {
+	if len(datagram) == 0 {
+		return Packet{}, false
+	}
+	if datagram[0]&longHeaderBit == 0 {
+		return parseShort(datagram)
+	}
+	if len(datagram) < longHeaderMinimum {
+		return Packet{}, false
+	}
+	length := int(datagram[destinationOffset-1])
+	if length > maxIDLength || len(datagram) < destinationOffset+length {
+		return Packet{}, false
+	}
+	return Packet{Long: true, Destination: datagram[destinationOffset : destinationOffset+length]}, true
+}
+
+func parseShort(datagram []byte) (Packet, bool) {
+	if datagram[0]&fixedBit == 0 || len(datagram) < 1+Length {
+		return Packet{}, false
+	}
+	return Packet{Destination: datagram[1 : 1+Length]}, true
+}
--- /dev/null
+++ b/internal/standin/trial/trial.go
@@ -0,0 +1,194 @@
+// Package trial lays out the settings of a whole small fleet on loopback: a
+// fabric, three balancers in three failure domains, and ten hosts, of which
+// seven serve yardline and three ledgerwash, each with an agent and a backend
+// server.
+//
+// # Usage
+//
+//	fl := trial.New(netip.MustParseAddr("127.0.0.1"), keys.GeneratePaths(folder))
+//	processes, err := fl.Write(folder)
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/standin/backend"
+	"corneltiller.dev/corneltiller/internal/standin/fabric"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+)
+
+// The services of the trial fleet.
+const (
+	Yardline   = 1
+	Ledgerwash = 2
+)
+
+const (
+	balancerCount   = 3
+	yardlineHosts   = 7
+	ledgerwashHosts = 3
+
+	firstServicePort  = 8441
+	platformPort      = 8400
+	fabricPort        = 8450
+	firstBalancerPort = 8500
+	firstHostPort     = 8600
+	portsPerInstance  = 10
+
+	stopWithin   = settings.Duration(20 * time.Second)
+	settingsMode = 0o600
+	folderMode   = 0o700
+)
+
+// domains are the failure domains of the trial fleet.
+var domains = []string{"scot-central-a", "scot-central-b", "scot-central-c"}
+
+// Fleet holds the settings of every process of the trial fleet.
+type Fleet struct {
+	Fabric    fabric.Settings
+	Balancers []settings.Balancer
+	Agents    []settings.Agent
+	Backends  []backend.Settings
+}
+
+// Process is one process of the fleet.
+type Process struct {
+	// Name is unique in the fleet.
+	Name string
+	// Arguments are those of the corneltiller command.
+	Arguments []string
+}
+
+// Services returns the services of the trial fleet on an address.
+func Services(host netip.Addr) []settings.Service {
+	return []settings.Service{
+		{
+			ID: Yardline, Name: "yardline", Firm: "Glenrug",
+			Addresses: []netip.AddrPort{netip.AddrPortFrom(host, firstServicePort)},
+		},
+		{
+			ID: Ledgerwash, Name: "ledgerwash", Firm: "Glenrug",
+			Addresses: []netip.AddrPort{netip.AddrPortFrom(host, firstServicePort+1)},
+		},
+	}
+}
+
+// New returns the settings of a fleet whose processes all use one address.
+func New(host netip.Addr, paths keys.Paths) *Fleet {
+	fl := &Fleet{}
+	services := Services(host)
+	seeds := make([]netip.AddrPort, 0, balancerCount)
+	for i := range balancerCount {
+		seeds = append(seeds, port(host, firstBalancerPort, i, 2))
+	}
+	fl.Fabric = fabric.Settings{Answers: netip.AddrPortFrom(host, fabricPort), Seed: 1}
+	for _, sv := range services {
+		fl.Fabric.Services = append(fl.Fabric.Services, sv.Addresses...)
+	}
+	for i := range balancerCount {
+		ba := newBalancer(host, i, paths)
+		ba.Fabric = fl.Fabric.Answers
+		ba.Seeds = seeds
+		ba.Services = services
+		fl.Balancers = append(fl.Balancers, ba)
+		fl.Fabric.Balancers = append(fl.Fabric.Balancers, fabric.Target{Callers: ba.Callers, Metrics: ba.Metrics})
+	}
+	for i := range yardlineHosts + ledgerwashHosts {
+		sv := services[0]
+		if i >= yardlineHosts {
+			sv = services[1]
+		}
+		fl.addHost(host, i, sv, paths, seeds)
+	}
+	return fl
+}
+
+func newBalancer(host netip.Addr, i int, paths keys.Paths) settings.Balancer {
+	ba := settings.DefaultBalancer()
+	ba.Domain = domains[i%len(domains)]
+	ba.Keys = settings.Keys(paths)
+	ba.StopWithin = stopWithin
+	ba.Callers = port(host, firstBalancerPort, i, 0)
+	ba.Hosts = port(host, firstBalancerPort, i, 1)
+	ba.Control = port(host, firstBalancerPort, i, 2)
+	ba.Metrics = port(host, firstBalancerPort, i, 3)
+	ba.Platform = netip.AddrPortFrom(host, platformPort)
+	return ba
+}
+
+func (fl *Fleet) addHost(host netip.Addr, i int, sv settings.Service, paths keys.Paths, seeds []netip.AddrPort) {
+	be := backend.Defaults()
+	be.Address = port(host, firstHostPort, i, 0)
+	be.Service = sv.Name
+	be.Seed = uint64(i)
+	fl.Backends = append(fl.Backends, be)
+
+	ag := settings.DefaultAgent()
+	ag.Domain = domains[i%len(domains)]
+	ag.Keys = settings.Keys(paths)
+	ag.StopWithin = stopWithin
+	ag.Backend = be.Address
+	ag.Datagrams = port(host, firstHostPort, i, 1)
+	ag.Control = port(host, firstHostPort, i, 2)
+	ag.Metrics = port(host, firstHostPort, i, 3)
+	ag.Service = sv.ID
+	ag.Seeds = seeds
+	fl.Agents = append(fl.Agents, ag)
+}
+
+func port(host netip.Addr, first, instance, offset int) netip.AddrPort {
+	return netip.AddrPortFrom(host, uint16(first+instance*portsPerInstance+offset))
+}
+
+// Write writes every process's settings below a folder and returns the
+// processes in the order in which to start them.
+func (fl *Fleet) Write(folder string) ([]Process, error) {
+	wr := &writer{folder: folder}
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "create settings folder")
+	}
+	for i, be := range fl.Backends {
+		wr.add(fmt.Sprintf("backend-%d", i), be, "standin", "backend")
+	}
+	for i, ba := range fl.Balancers {
+		wr.add(fmt.Sprintf("balancer-%d", i), ba, "balancer")
+	}
+	for i, ag := range fl.Agents {
+		wr.add(fmt.Sprintf("agent-%d", i), ag, "agent")
+	}
+	wr.add("fabric", fl.Fabric, "standin", "fabric")
+	return wr.processes, wr.err
+}
+
+// writer writes settings files until the first error.
+type writer struct {
+	folder    string
+	processes []Process
+	err       error
+}
+
+func (wr *writer) add(name string, value any, command ...string) {
+	if wr.err != nil {
+		return
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		wr.err = errors.Wrapf(err, "encode settings of %s", name)
+		return
+	}
+	path := filepath.Join(wr.folder, name+".json")
+	if err := os.WriteFile(path, append(data, '\n'), settingsMode); err != nil {
+		wr.err = errors.Wrapf(err, "write settings of %s", name)
+		return
+	}
+	arguments := append(append([]string(nil), command...), "--settings", path)
+	wr.processes = append(wr.processes, Process{Name: name, Arguments: arguments})
+}
--- /dev/null
+++ b/internal/transport/agent/agent.go
@@ -0,0 +1,219 @@
+// Package agent is the shell of the small process beside a backend server: it
+// ends the callers' QUIC connections, hands their requests to the backend
+// server and announces the host.
+//
+// # Usage
+//
+//	ag, err := agent.Open(ctx, cfg)
+//	err = ag.Run(ctx)
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/protocol/envelope"
+	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+	"corneltiller.dev/corneltiller/internal/state/register"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+	"corneltiller.dev/corneltiller/internal/transport/socket"
+)
+
+const (
+	announceEvery   = 500 * time.Millisecond
+	announceTimeout = time.Second
+	// idleTimeout ends flows whose caller has vanished.
+	idleTimeout = 60 * time.Second
+	// initialPacketSize leaves room for the envelope on a path of 1,280 bytes.
+	initialPacketSize = 1200
+)
+
+// Config is what an agent needs to run.
+type Config struct {
+	settings.Agent
+	Material *keys.Store
+	Board    *gauge.Board
+}
+
+// Agent serves one backend server.
+type Agent struct {
+	cfg       Config
+	service   register.ServiceID
+	labels    *label.Codec
+	envelopes *envelope.Codec
+	socket    *socket.Socket
+	relay     *relay
+	transport *quic.Transport
+	server    *http3.Server
+	control   *link.Listener
+	metrics   *link.Listener
+	pool      *link.Pool
+	backend   *http.Client
+
+	mu     sync.Mutex
+	record register.Host
+}
+
+// Open takes the agent's addresses.
+func Open(ctx context.Context, cfg Config) (*Agent, error) {
+	ag := &Agent{
+		cfg:       cfg,
+		service:   register.ServiceID(cfg.Service),
+		envelopes: envelope.NewCodec(cfg.Material.Secret()),
+		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
+		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
+	}
+	var err error
+	if ag.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
+		return nil, err
+	}
+	if ag.socket, err = socket.Listen(ctx, cfg.Datagrams, cfg.Workers); err != nil {
+		return nil, err
+	}
+	srv := &link.Server{Mux: link.NewMux(), Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	if ag.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
+		return nil, err
+	}
+	if ag.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
+		return nil, err
+	}
+	ag.record = register.Host{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1},
+		Address:  ag.socket.Address(),
+		Control:  ag.control.Address(),
+		Service:  ag.service,
+		Domain:   cfg.Domain,
+		State:    register.StateReady,
+		Weight:   register.FullWeight,
+	}
+	ag.openServer()
+	return ag, nil
+}
+
+func (ag *Agent) openServer() {
+	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
+	la := &labeler{
+		codec: ag.labels,
+		place: label.Place{Service: ag.service, Host: ag.record.Address, Incarnation: uint16(ag.record.Incarnation)},
+	}
+	la.last.Store(startNonce())
+	ag.transport = &quic.Transport{Conn: ag.relay, ConnectionIDGenerator: la}
+	ag.server = &http3.Server{Handler: ag}
+}
+
+// Datagrams returns the address for enveloped datagrams.
+func (ag *Agent) Datagrams() netip.AddrPort { return ag.record.Address }
+
+// Control returns the address for links.
+func (ag *Agent) Control() netip.AddrPort { return ag.control.Address() }
+
+// Metrics returns the address of metrics and readiness.
+func (ag *Agent) Metrics() netip.AddrPort { return ag.metrics.Address() }
+
+// Run serves until the context ends, then drains.
+func (ag *Agent) Run(ctx context.Context) error {
+	klog.InfoS("Agent started", "Service", ag.service, "Datagrams", ag.Datagrams(), "Control", ag.Control(), "Metrics", ag.Metrics())
+	listener, err := ag.transport.ListenEarly(http3.ConfigureTLSConfig(ag.cfg.Material.CallerTLS()), &quic.Config{
+		MaxIdleTimeout:    idleTimeout,
+		InitialPacketSize: initialPacketSize,
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	eg, serving := errgroup.WithContext(serving)
+	eg.Go(func() error { return ag.socket.Serve(ag.fromNetwork) })
+	eg.Go(func() error { return ag.control.Run(serving) })
+	eg.Go(func() error { return ag.metrics.Run(serving) })
+	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error {
+		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	ag.cfg.Board.SetReady(true)
+
+	select {
+	case <-ctx.Done():
+		ag.drain(time.Now().Add(time.Duration(ag.cfg.StopWithin)))
+	case <-serving.Done():
+	}
+	stop()
+	ag.server.Close()
+	ag.transport.Close()
+	ag.relay.Close()
+	ag.socket.Close()
+	ag.pool.Close()
+	err = eg.Wait()
+	klog.InfoS("Agent stopped", "Datagrams", ag.Datagrams())
+	return err
+}
+
+// drain announces that the host leaves, and waits until the open requests have
+// ended, at most until the deadline.
+func (ag *Agent) drain(deadline time.Time) {
+	ag.cfg.Board.SetReady(false)
+	klog.InfoS("Agent stopping", "Deadline", deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ag.advance(register.StateDraining)
+	ag.announceOnce(ctx)
+	if err := ag.server.Shutdown(ctx); err != nil {
+		klog.InfoS("Agent stopped with open requests", "Err", err)
+	}
+	ag.advance(register.StateGone)
+	ag.announceOnce(ctx)
+}
+
+func (ag *Agent) advance(st register.State) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	ag.record.State = st
+	ag.record.Sequence++
+}
+
+func (ag *Agent) announce(ctx context.Context) error {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for {
+		ag.announceOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// announceOnce sends the host's record to every seed.
+func (ag *Agent) announceOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	ag.mu.Lock()
+	record := ag.record
+	ag.mu.Unlock()
+	var pending sync.WaitGroup
+	for _, seed := range ag.cfg.Seeds {
+		pending.Go(func() {
+			if err := ag.pool.Send(ctx, seed, message.KindAnnounce, record); err != nil {
+				klog.V(1).InfoS("Announcement failed", "Peer", seed, "Err", err)
+			}
+		})
+	}
+	pending.Wait()
+}
--- /dev/null
+++ b/internal/transport/balancer/balancer.go
@@ -0,0 +1,179 @@
+// Package balancer is the shell of a balancer: it forwards callers' datagrams
+// to agents and agents' answers to callers, and holds no state of any flow.
+//
+// # Usage
+//
+//	ba, err := balancer.Open(ctx, cfg)
+//	err = ba.Run(ctx)
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/protocol/envelope"
+	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+	"corneltiller.dev/corneltiller/internal/transport/socket"
+)
+
+// quietBeforeStop is how long no datagram may arrive before a stopping
+// balancer is sure that the fabric has withdrawn it.
+const quietBeforeStop = 500 * time.Millisecond
+
+// Config is what a balancer needs to run.
+type Config struct {
+	settings.Balancer
+	Material *keys.Store
+	Board    *gauge.Board
+}
+
+// Balancer forwards datagrams.
+type Balancer struct {
+	cfg       Config
+	labels    *label.Codec
+	envelopes *envelope.Codec
+	callers   *socket.Socket
+	hosts     *socket.Socket
+	answers   netip.AddrPort
+	control   *link.Listener
+	metrics   *link.Listener
+	addresses atomic.Pointer[addresses]
+	steer     atomic.Pointer[Steer]
+	directory *directory
+	counts    counts
+}
+
+// counts are the metrics of the hot path.
+type counts struct {
+	forwarded, answered, malformed, unknownService, wrongService, noHost, sendFailed metrics.Counter
+}
+
+func newCounts(bo *gauge.Board) counts {
+	return counts{
+		forwarded:      bo.Counter("DatagramsForwarded"),
+		answered:       bo.Counter("DatagramsAnswered"),
+		malformed:      bo.Counter("DatagramsMalformed"),
+		unknownService: bo.Counter("DatagramsUnknownService"),
+		wrongService:   bo.Counter("DatagramsWrongService"),
+		noHost:         bo.Counter("DatagramsNoHost"),
+		sendFailed:     bo.Counter("DatagramsSendFailed"),
+	}
+}
+
+// Open takes the balancer's addresses.
+func Open(ctx context.Context, cfg Config) (*Balancer, error) {
+	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board)}
+	ba.directory = newDirectory(ba)
+	ba.Apply(configurationOf(cfg.Services))
+	ba.directory.rebuild()
+
+	var err error
+	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
+		return nil, err
+	}
+	ba.envelopes = envelope.NewCodec(cfg.Material.Secret())
+	if ba.callers, err = socket.Listen(ctx, cfg.Callers, cfg.Workers); err != nil {
+		return nil, err
+	}
+	if ba.hosts, err = socket.Listen(ctx, cfg.Hosts, cfg.Workers); err != nil {
+		return nil, err
+	}
+	ba.answers = ba.hosts.Address()
+	mux := link.NewMux()
+	ba.directory.register(mux)
+	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
+		return nil, err
+	}
+	if ba.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
+		return nil, err
+	}
+	return ba, nil
+}
+
+// configurationOf returns the configuration that the settings name.
+func configurationOf(services []settings.Service) *catalog.Configuration {
+	cfg := &catalog.Configuration{}
+	for _, sv := range services {
+		cfg.Services = append(cfg.Services, sv.Catalog())
+	}
+	return cfg
+}
+
+// Apply puts a configuration in force.
+func (ba *Balancer) Apply(cfg *catalog.Configuration) {
+	ba.addresses.Store(newAddresses(cfg))
+}
+
+// Callers returns the address for the fabric's datagrams.
+func (ba *Balancer) Callers() netip.AddrPort { return ba.callers.Address() }
+
+// Hosts returns the address for agents' answers.
+func (ba *Balancer) Hosts() netip.AddrPort { return ba.answers }
+
+// Control returns the address for links.
+func (ba *Balancer) Control() netip.AddrPort { return ba.control.Address() }
+
+// Metrics returns the address of metrics and readiness.
+func (ba *Balancer) Metrics() netip.AddrPort { return ba.metrics.Address() }
+
+// Run forwards datagrams until the context ends, then keeps forwarding until
+// the fabric has withdrawn the balancer or the stop's deadline passes.
+func (ba *Balancer) Run(ctx context.Context) error {
+	klog.InfoS("Balancer started", "Callers", ba.Callers(), "Hosts", ba.Hosts(), "Control", ba.Control(), "Metrics", ba.Metrics())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	eg, serving := errgroup.WithContext(serving)
+	eg.Go(func() error { return ba.callers.Serve(ba.fromFabric) })
+	eg.Go(func() error { return ba.hosts.Serve(ba.fromHost) })
+	eg.Go(func() error { return ba.control.Run(serving) })
+	eg.Go(func() error { return ba.metrics.Run(serving) })
+	eg.Go(func() error { return ba.directory.run(serving) })
+	ba.cfg.Board.SetReady(true)
+
+	select {
+	case <-ctx.Done():
+		ba.drain(time.Now().Add(time.Duration(ba.cfg.StopWithin)))
+	case <-serving.Done():
+	}
+	stop()
+	ba.callers.Close()
+	ba.hosts.Close()
+	err := eg.Wait()
+	klog.InfoS("Balancer stopped", "Hosts", ba.Hosts())
+	return err
+}
+
+// drain waits until no datagram has arrived for a while, at most until the deadline.
+func (ba *Balancer) drain(deadline time.Time) {
+	ba.cfg.Board.SetReady(false)
+	klog.InfoS("Balancer stopping", "Deadline", deadline)
+	last := ba.traffic()
+	quietAt := time.Now().Add(quietBeforeStop)
+	ticker := time.NewTicker(quietBeforeStop / 10)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if now.After(deadline) || now.After(quietAt) {
+			return
+		}
+		if traffic := ba.traffic(); traffic != last {
+			last = traffic
+			quietAt = now.Add(quietBeforeStop)
+		}
+	}
+}
+
+func (ba *Balancer) traffic() int64 {
+	return ba.counts.forwarded.Count() + ba.counts.answered.Count()
+}
--- /dev/null
+++ b/internal/transport/caller/caller.go
@@ -0,0 +1,74 @@
+// Package caller is the client of a service behind the balancers: HTTP/3 over
+// one QUIC connection, which is one flow.
+//
+// # Usage
+//
+//	ca := caller.Open(caller.Config{Service: address, Authority: pool})
+//	answer, err := ca.Do(request)
+//	ca.Close()
+package caller
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+const (
+	initialPacketSize = 1200 // bytes; leaves room for the envelope
+	keepAlive         = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// Config is what a caller needs.
+type Config struct {
+	// Service is the service's address.
+	Service netip.AddrPort
+	// Authority holds the certificates that the service must be signed by.
+	Authority *x509.CertPool
+	// Name is the name that the service's certificate must have.
+	Name string
+}
+
+// Caller is one flow to a service.
+type Caller struct {
+	cfg       Config
+	transport *http3.Transport
+}
+
+// Open returns a caller that connects with its first request.
+func Open(cfg Config) *Caller {
+	return &Caller{
+		cfg: cfg,
+		transport: &http3.Transport{
+			TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: cfg.Authority, ServerName: cfg.Name},
+			QUICConfig: &quic.Config{
+				InitialPacketSize: initialPacketSize,
+				KeepAlivePeriod:   keepAlive,
+				MaxIdleTimeout:    idleTimeout,
+			},
+		},
+	}
+}
+
+// Do sends a request, whose URL needs only a path, and returns the answer.
+func (ca *Caller) Do(re *http.Request) (*http.Response, error) {
+	re.URL.Scheme = "https"
+	re.URL.Host = ca.cfg.Service.String()
+	answer, err := ca.transport.RoundTrip(re)
+	if err != nil {
+		return nil, errors.Wrapf(err, "call %s", ca.cfg.Service)
+	}
+	return answer, nil
+}
+
+// Close ends the flow.
+func (ca *Caller) Close() error {
+	return ca.transport.Close()
+}
--- /dev/null
+++ b/internal/transport/link/link.go
@@ -0,0 +1,92 @@
+// Package link carries messages between the system's own processes over
+// WebSocket connections with mutual TLS.
+//
+// A process takes messages with a Server, whose Mux holds one handler for each
+// kind, and sends them with a Pool, which keeps one connection for each peer.
+//
+// # Usage
+//
+//	mux := link.NewMux()
+//	link.On(mux, message.KindAnnounce, func(ctx context.Context, pe link.Peer, ho register.Host) (any, error) {
+//		return nil, view.Put(ho)
+//	})
+//	srv := &link.Server{Mux: mux}
+//
+//	pool := link.NewPool(tlsConfig)
+//	err := pool.Send(ctx, peer, message.KindAnnounce, record)
+//	err = pool.Call(ctx, peer, message.KindProbe, question, &answer)
+package link
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+)
+
+// Path is the HTTP path under which a process takes links.
+const Path = "/Link"
+
+// Peer is the other end of a link.
+type Peer struct {
+	// Address is where the peer's connection comes from.
+	Address netip.AddrPort
+	// Name is the name in the peer's certificate.
+	Name string
+}
+
+// RefusedError is the error of a request that the peer refused.
+type RefusedError struct {
+	Peer netip.AddrPort
+	message.Failure
+}
+
+// Error names the peer, the step and the reason.
+func (er *RefusedError) Error() string {
+	return "peer " + er.Peer.String() + " refused to " + er.Step + ": " + er.Reason
+}
+
+// Handler answers one message. A nil answer to a request is sent as an empty body.
+type Handler func(ctx context.Context, pe Peer, msg message.Message) (any, error)
+
+// Mux holds the handler of each message kind.
+type Mux struct {
+	handlers map[message.Kind]Handler
+}
+
+// NewMux returns a Mux without handlers.
+func NewMux() *Mux {
+	return &Mux{handlers: make(map[message.Kind]Handler)}
+}
+
+// Handle sets the handler of a kind. All handlers are set before the first
+// message is taken.
+func (mx *Mux) Handle(kind message.Kind, ha Handler) {
+	mx.handlers[kind] = ha
+}
+
+// On sets a handler whose body has the type T.
+func On[T any](mx *Mux, kind message.Kind, ha func(ctx context.Context, pe Peer, body T) (any, error)) {
+	mx.Handle(kind, func(ctx context.Context, pe Peer, msg message.Message) (any, error) {
+		var body T
+		if err := msg.Decode(&body); err != nil {
+			return nil, err
+		}
+		return ha(ctx, pe, body)
+	})
+}
+
+// dispatch runs the handler of a message and returns the answer to send.
+func (mx *Mux) dispatch(ctx context.Context, pe Peer, msg message.Message) (message.Message, error) {
+	ha, ok := mx.handlers[msg.Kind]
+	if !ok {
+		return message.Message{}, errors.Errorf("take message of unknown kind %d from %s", msg.Kind, pe.Address)
+	}
+	answer, err := ha(ctx, pe, msg)
+	if err != nil {
+		return message.Message{}, err
+	}
+	return message.New(msg.Kind, answer)
+}
--- /dev/null
+++ b/test/failure_test.go
@@ -0,0 +1,52 @@
+package test
+
+import (
+	"syscall"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// callDuring makes requests over one flow and causes the failure meanwhile.
+func (fl *fleet) callDuring(failure func()) (string, int) {
+	type result struct {
+		output string
+		code   int
+	}
+	results := make(chan result, 1)
+	go func() {
+		output, code := fl.call(0, "-n", "200", "/status")
+		results <- result{output, code}
+	}()
+	failure()
+	re := <-results
+	return re.output, re.code
+}
+
+func TestFlowSurvivesBalancerFailures(t *testing.T) {
+	fl := startFleet(t)
+	convey.Convey("A flow goes on", t, func() {
+		convey.Convey("while a balancer is killed", func() {
+			_, code := fl.callDuring(func() {
+				fl.signal("balancer-0", syscall.SIGKILL)
+				_ = fl.wait("balancer-0")
+			})
+			convey.So(code, convey.ShouldEqual, 0)
+		})
+		convey.Convey("while a balancer is frozen and resumed", func() {
+			_, code := fl.callDuring(func() {
+				fl.signal("balancer-1", syscall.SIGSTOP)
+			})
+			fl.signal("balancer-1", syscall.SIGCONT)
+			convey.So(code, convey.ShouldEqual, 0)
+		})
+		convey.Convey("while a balancer stops gracefully and is replaced", func() {
+			_, code := fl.callDuring(func() {
+				fl.signal("balancer-2", syscall.SIGTERM)
+				convey.So(fl.wait("balancer-2"), convey.ShouldBeNil)
+				fl.start("balancer-2")
+			})
+			convey.So(code, convey.ShouldEqual, 0)
+		})
+	})
+}
--- /dev/null
+++ b/test/path_test.go
@@ -0,0 +1,24 @@
+package test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"corneltiller.dev/corneltiller/internal/standin/backend"
+)
+
+func TestWholePath(t *testing.T) {
+	fl := startFleet(t)
+	convey.Convey("Each service's own hosts answer its callers", t, func() {
+		for i, name := range []string{"yardline", "ledgerwash"} {
+			output, code := fl.call(i, "-X", "POST", "-d", "rug 12", "-H", "Trial-Identity:"+name, "/bookings")
+			convey.So(code, convey.ShouldEqual, 0)
+			_, body, _ := strings.Cut(output, "200 OK ")
+			answer := decode[backend.Answer](t, body)
+			convey.So(answer.Identity, convey.ShouldEqual, name)
+			convey.So(answer.Service, convey.ShouldEqual, name)
+		}
+	})
+}
