feat: object API binding, its stand-in store and the HTTP client

The root of the configuration and its shards live in the platform's object API. The binding uses the standard's own means: entity tags as versions, If-Match and If-None-Match for conditional writes, Prefer: wait for watches.

The client makes single calls and separates three ends of a write: refused without effect, conflicting, and unanswered. An error page of a gateway counts as unanswered, since only the store's own problem body can state that nothing was executed.

--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,189 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/protocol/object"
+)
+
+// ServeHTTP takes one call of the object API.
+func (se *Server) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
+	rw.Header().Set("Date", se.Now().UTC().Format(http.TimeFormat))
+	name, single := strings.CutPrefix(rq.URL.Path, object.Root+"/")
+	wait := object.ParsePreference(rq.Header.Get("Prefer"))
+	fa := se.take(rq.Method, single, wait > 0)
+	if fa.Outage {
+		panic(http.ErrAbortHandler)
+	}
+	if fa.Refusal {
+		fail(rw, http.StatusServiceUnavailable, object.Absent)
+		return
+	}
+	if !pause(rq, fa.Delay) {
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case rq.Method == http.MethodGet && !single && rq.URL.Path == object.Root:
+		se.list(rw, rq.URL.Query().Get("prefix"))
+	case !single || name == "":
+		fail(rw, http.StatusNotFound, object.Absent)
+	case rq.Method == http.MethodGet && wait > 0:
+		se.watch(rw, rq, name, wait)
+	case rq.Method == http.MethodGet:
+		se.get(rw, name)
+	case rq.Method == http.MethodPut:
+		se.put(rw, rq, name)
+	case rq.Method == http.MethodDelete:
+		se.remove(rw, rq, name)
+	default:
+		fail(rw, http.StatusMethodNotAllowed, object.Absent)
+	}
+}
+
+// take counts the call and returns the faults that it meets.
+func (se *Server) take(method string, single, waits bool) Faults {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	switch {
+	case method == http.MethodPut:
+		se.calls.Writes++
+	case method == http.MethodDelete:
+		se.calls.Deletes++
+	case !single:
+		se.calls.Lists++
+	case waits:
+		se.calls.Watches++
+	default:
+		se.calls.Reads++
+	}
+	return se.faults
+}
+
+// pause waits for the delay and reports whether the caller is still there.
+func pause(rq *http.Request, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	tm := time.NewTimer(delay)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-rq.Context().Done():
+		return false
+	}
+}
+
+func (se *Server) list(rw http.ResponseWriter, prefix string) {
+	se.mu.Lock()
+	li := se.objects.List(prefix)
+	se.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(li)
+}
+
+func (se *Server) get(rw http.ResponseWriter, name string) {
+	se.mu.Lock()
+	found, err := se.objects.Get(name)
+	se.mu.Unlock()
+	answer(rw, found, err)
+}
+
+func (se *Server) watch(rw http.ResponseWriter, rq *http.Request, name string, wait time.Duration) {
+	version, err := object.ParseTag(rq.Header.Get("If-None-Match"))
+	if err != nil {
+		fail(rw, http.StatusBadRequest, object.Absent)
+		return
+	}
+	found, err := se.wait(rq.Context(), name, version, se.Now().Add(wait))
+	answer(rw, found, err)
+}
+
+func (se *Server) put(rw http.ResponseWriter, rq *http.Request, name string) {
+	version, ok := condition(rq)
+	if !ok {
+		fail(rw, http.StatusPreconditionRequired, object.Absent)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(rq.Body, object.MaxValueBytes+1))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	se.mu.Lock()
+	if se.faults.LoseCalls > 0 {
+		se.faults.LoseCalls--
+		se.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	written, err := se.objects.Put(se.Now(), name, value, version)
+	lost := se.faults.LoseAnswers > 0
+	if lost {
+		se.faults.LoseAnswers--
+	}
+	se.notify()
+	se.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	written.Value = nil
+	answer(rw, written, err)
+}
+
+func (se *Server) remove(rw http.ResponseWriter, rq *http.Request, name string) {
+	version, ok := condition(rq)
+	if !ok {
+		fail(rw, http.StatusPreconditionRequired, object.Absent)
+		return
+	}
+	se.mu.Lock()
+	err := se.objects.Delete(name, version)
+	se.notify()
+	se.mu.Unlock()
+	answer(rw, object.Object{Name: name, Version: version}, err)
+}
+
+// condition returns the version that the write depends on.
+func condition(rq *http.Request) (object.Version, bool) {
+	if rq.Header.Get("If-None-Match") == "*" {
+		return object.Absent, true
+	}
+	version, err := object.ParseTag(rq.Header.Get("If-Match"))
+	return version, err == nil
+}
+
+// answer writes the object or the problem that the error stands for.
+func answer(rw http.ResponseWriter, found object.Object, err error) {
+	switch {
+	case err == nil:
+		rw.Header().Set("Etag", object.Tag(found.Version))
+		rw.Header().Set("Last-Modified", found.Written.UTC().Format(http.TimeFormat))
+		_, _ = rw.Write(found.Value)
+	case errors.Is(err, object.ErrUnchanged):
+		rw.WriteHeader(http.StatusNotModified)
+	case errors.Is(err, object.ErrNotFound):
+		fail(rw, http.StatusNotFound, object.Absent)
+	case errors.Is(err, object.ErrConflict):
+		fail(rw, http.StatusPreconditionFailed, found.Version)
+	case errors.Is(err, object.ErrTooLarge):
+		fail(rw, http.StatusRequestEntityTooLarge, object.Absent)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fail answers with a problem that states that the call had no effect.
+func fail(rw http.ResponseWriter, status int, version object.Version) {
+	rw.Header().Set("Content-Type", "application/problem+json")
+	rw.WriteHeader(status)
+	_ = json.NewEncoder(rw).Encode(object.Problem{
+		Status:  status,
+		Title:   http.StatusText(status),
+		Version: version,
+	})
+}
--- /dev/null
+++ b/internal/transport/store/store.go
@@ -0,0 +1,182 @@
+// Package store is the client of the platform's object API over HTTP. It makes
+// single calls and decides nothing: retries, budgets and the circuit state are
+// the business of the archive package.
+//
+// # Usage
+//
+//	cl := &store.Client{Address: address, TLS: tlsConfig}
+//	root, err := cl.Get(ctx, "root")
+//	written, err := cl.Put(ctx, "root", value, root.Version)
+//	root, err = cl.Watch(ctx, "root", written.Version, time.Now().Add(30*time.Second))
+package store
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/protocol/object"
+)
+
+// watchMargin is how long a watch waits for its answer beyond the wait itself.
+const watchMargin = 2 * time.Second
+
+// maxProblemBytes bounds the body of an error answer.
+const maxProblemBytes = 64 << 10
+
+// Client calls the store at one address. It is safe for concurrent use.
+type Client struct {
+	// Address is where the store takes calls.
+	Address netip.AddrPort
+	// TLS is the client's TLS configuration; nil speaks plain HTTP.
+	TLS *tls.Config
+
+	once sync.Once
+	http *http.Client
+}
+
+// Get reads one object. Its errors are those of the object package, wrapped
+// with the step and the peer.
+func (cl *Client) Get(ctx context.Context, name string) (object.Object, error) {
+	rq, err := cl.request(ctx, http.MethodGet, object.Path(name), nil)
+	if err != nil {
+		return object.Object{}, err
+	}
+	return cl.call(rq, name)
+}
+
+// Put writes one object if it still has the version; object.Absent creates it.
+// After object.ErrUnanswered the write may have taken effect.
+func (cl *Client) Put(ctx context.Context, name string, value []byte, version object.Version) (object.Object, error) {
+	rq, err := cl.request(ctx, http.MethodPut, object.Path(name), value)
+	if err != nil {
+		return object.Object{}, err
+	}
+	condition(rq, version)
+	return cl.call(rq, name)
+}
+
+// Delete removes one object if it still has the version.
+func (cl *Client) Delete(ctx context.Context, name string, version object.Version) error {
+	rq, err := cl.request(ctx, http.MethodDelete, object.Path(name), nil)
+	if err != nil {
+		return err
+	}
+	condition(rq, version)
+	_, err = cl.call(rq, name)
+	return err
+}
+
+// Watch waits until the object has another version than the one after which it
+// is asked, and returns it. object.ErrUnchanged says that the wait ended first.
+func (cl *Client) Watch(ctx context.Context, name string, after object.Version, until time.Time) (object.Object, error) {
+	ctx, cancel := context.WithDeadline(ctx, until.Add(watchMargin))
+	defer cancel()
+	rq, err := cl.request(ctx, http.MethodGet, object.Path(name), nil)
+	if err != nil {
+		return object.Object{}, err
+	}
+	rq.Header.Set("If-None-Match", object.Tag(after))
+	rq.Header.Set("Prefer", object.Preference(max(time.Until(until), time.Second)))
+	return cl.call(rq, name)
+}
+
+// List returns the objects whose names begin with the prefix, without values.
+func (cl *Client) List(ctx context.Context, prefix string) (object.Listing, error) {
+	path := object.Root + "?" + url.Values{"prefix": {prefix}}.Encode()
+	rq, err := cl.request(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return object.Listing{}, err
+	}
+	listed, err := cl.call(rq, prefix)
+	if err != nil {
+		return object.Listing{}, err
+	}
+	var li object.Listing
+	if err := json.Unmarshal(listed.Value, &li); err != nil {
+		return object.Listing{}, errors.Wrapf(err, "decode list from store %s", cl.Address)
+	}
+	return li, nil
+}
+
+// condition sets the header that makes a write depend on the version.
+func condition(rq *http.Request, version object.Version) {
+	if version == object.Absent {
+		rq.Header.Set("If-None-Match", "*")
+		return
+	}
+	rq.Header.Set("If-Match", object.Tag(version))
+}
+
+func (cl *Client) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	scheme := "http"
+	if cl.TLS != nil {
+		scheme = "https"
+	}
+	rq, err := http.NewRequestWithContext(ctx, method, scheme+"://"+cl.Address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "build call to store %s", cl.Address)
+	}
+	return rq, nil
+}
+
+// call sends the request and turns the answer into an object or an error.
+func (cl *Client) call(rq *http.Request, name string) (object.Object, error) {
+	cl.once.Do(cl.open)
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		return object.Object{}, errors.Wrapf(object.ErrUnanswered, "%s %s at store %s: %v", rq.Method, name, cl.Address, err)
+	}
+	defer rs.Body.Close()
+	found, err := read(rs, name)
+	if err != nil {
+		return found, errors.Wrapf(err, "%s %s at store %s", rq.Method, name, cl.Address)
+	}
+	return found, nil
+}
+
+func (cl *Client) open() {
+	cl.http = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   cl.TLS,
+		ForceAttemptHTTP2: cl.TLS != nil,
+	}}
+}
+
+// read decodes the answer. A body that ends early counts as no answer.
+func read(rs *http.Response, name string) (object.Object, error) {
+	found := object.Object{Name: name}
+	found.Asked, _ = http.ParseTime(rs.Header.Get("Date"))
+	if rs.StatusCode >= http.StatusMultipleChoices {
+		pr := problem(rs)
+		found.Version = pr.Version
+		return found, object.ErrorOf(rs.StatusCode, pr)
+	}
+	value, err := io.ReadAll(rs.Body)
+	if err != nil {
+		return found, object.ErrUnanswered
+	}
+	found.Value = value
+	found.Size = len(value)
+	found.Written, _ = http.ParseTime(rs.Header.Get("Last-Modified"))
+	if tag := rs.Header.Get("Etag"); tag != "" {
+		found.Version, err = object.ParseTag(tag)
+	}
+	return found, err
+}
+
+func problem(rs *http.Response) object.Problem {
+	// A body that is no problem leaves Status at zero, which ErrorOf reads as
+	// an unknown effect.
+	var pr object.Problem
+	_ = json.NewDecoder(io.LimitReader(rs.Body, maxProblemBytes)).Decode(&pr)
+	return pr
+}
