feat: the demo runs the fleet in one process and compares books

Cause: a newcomer needs one command that serves callers and tells whether the promises held; counts come from the callers' and the backend servers' books. Also adds the platform's stand-in as a process.

--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/standin/backend"
 	"corneltiller.dev/corneltiller/internal/standin/fabric"
+	"corneltiller.dev/corneltiller/internal/standin/platform"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
+	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
 func standinCommand() *command {
@@ -15,6 +18,7 @@
 		short: "Run a stand-in for a part of the platform",
 		long:  "Run a small stand-in for a part of the platform, for trials on one machine.",
 		commands: []*command{
+			standinPlatformCommand(),
 			standinFabricCommand(),
 			standinBackendCommand(),
 			standinKeysCommand(),
@@ -46,6 +50,24 @@
 		})
 }
 
+// platformSettings are the settings of standin platform.
+type platformSettings struct {
+	// Address is where the object API takes calls.
+	Address netip.AddrPort
+}
+
+func standinPlatformCommand() *command {
+	return roleCommand("platform", "Serve the platform's object API",
+		"Hold objects with versions, conditional updates and watches in memory.",
+		platformSettings{}, func(ru *run, st platformSettings) error {
+			li, err := link.Listen(ru, st.Address, nil, platform.New())
+			if err != nil {
+				return err
+			}
+			return li.Run(ru)
+		})
+}
+
 // keysOptions are the options of standin keys.
 type keysOptions struct {
 	Folder string `long:"folder" description:"Folder to write the keys to" default:"settings/keys"`
--- /dev/null
+++ b/internal/standin/demo/compare.go
@@ -0,0 +1,156 @@
+package demo
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// drainGrace is how long after the announcement of a drain new work may still arrive.
+	drainGrace = 3 * time.Second
+
+	highestLatency       = int64(time.Minute / time.Microsecond)
+	significantFigures   = 3
+	microsPerMillisecond = 1000
+)
+
+// comparison checks the callers' book against the servers' books.
+type comparison struct {
+	report  *Report
+	entries []entry
+	endings []ending
+	servers []serverBook
+	// ranFor is how often a request ran, by identity.
+	ranFor map[string]int
+	// crashed are the hosts that were crashed.
+	crashed map[netip.AddrPort]bool
+}
+
+func compare(re *Report, cb *callerBook, servers []serverBook) {
+	co := &comparison{
+		report:  re,
+		entries: cb.entries,
+		endings: cb.endings,
+		servers: servers,
+		ranFor:  make(map[string]int),
+		crashed: make(map[netip.AddrPort]bool),
+	}
+	re.Flows = cb.flows
+	co.readServers()
+	co.checkEntries()
+	co.checkEndings()
+	co.measureLatency()
+	co.measureImbalance()
+}
+
+func (co *comparison) readServers() {
+	for _, sb := range co.servers {
+		if !sb.crashedAt.IsZero() {
+			co.crashed[sb.address] = true
+		}
+		for _, ru := range sb.runs {
+			co.ranFor[ru.Identity]++
+			if ru.Service != sb.service {
+				co.report.MisroutedPackets++
+			}
+			if !sb.drainedAt.IsZero() && ru.StartedAt.After(sb.drainedAt.Add(drainGrace)) {
+				co.report.NewWorkAfterDrain++
+			}
+		}
+	}
+}
+
+func (co *comparison) checkEntries() {
+	re := co.report
+	for _, en := range co.entries {
+		re.Requests++
+		ran := co.ranFor[en.identity]
+		switch en.outcome {
+		case OutcomeAnswered:
+			re.Outcomes.Answered++
+			if en.booking && ran == 0 {
+				re.LostBookings++
+			}
+		case OutcomeNotRun:
+			re.Outcomes.NotRun++
+			if ran > 0 {
+				re.NotRunButRan++
+			}
+		case OutcomeUnknown:
+			re.Outcomes.Unknown++
+			if !co.crashed[en.host] {
+				re.CutByStop++
+				klog.V(1).InfoS("Request cut", "Identity", en.identity, "Host", en.host, "Elapsed", en.finishedAt.Sub(en.startedAt), "Failure", en.failure)
+			}
+		}
+		if en.booking && ran > 1 {
+			re.DoubledBookings++
+		}
+		if en.wrong {
+			re.WrongAnswers++
+		}
+	}
+}
+
+func (co *comparison) checkEndings() {
+	for _, en := range co.endings {
+		co.report.BrokenFlows++
+		if co.crashed[en.host] {
+			co.report.CrashedHostFlows++
+			continue
+		}
+		klog.V(1).InfoS("Flow broken", "Flow", en.flow, "Host", en.host, "Err", en.err)
+	}
+}
+
+func (co *comparison) measureLatency() {
+	urgent := hdrhistogram.New(1, highestLatency, significantFigures)
+	deferrable := hdrhistogram.New(1, highestLatency, significantFigures)
+	for _, en := range co.entries {
+		if en.outcome != OutcomeAnswered {
+			continue
+		}
+		hi := urgent
+		if en.deferrable {
+			hi = deferrable
+		}
+		// Longer latencies than the histogram holds don't occur: callers give up before.
+		_ = hi.RecordValue(en.finishedAt.Sub(en.startedAt).Microseconds())
+	}
+	co.report.UrgentP50Milliseconds = quantile(urgent, 50)
+	co.report.UrgentP99Milliseconds = quantile(urgent, 99)
+	co.report.DeferrableP99Milliseconds = quantile(deferrable, 99)
+}
+
+func quantile(hi *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(hi.ValueAtPercentile(percent)) / microsPerMillisecond
+}
+
+// measureImbalance takes the worst service, over the servers that were there
+// from the beginning to the end.
+func (co *comparison) measureImbalance() {
+	type sums struct {
+		total, largest time.Duration
+		count          int
+	}
+	byService := make(map[string]sums)
+	for _, sb := range co.servers {
+		if !sb.steady() {
+			continue
+		}
+		su := byService[sb.service]
+		su.total += sb.work()
+		su.largest = max(su.largest, sb.work())
+		su.count++
+		byService[sb.service] = su
+	}
+	for _, su := range byService {
+		if su.total > 0 {
+			imbalance := float64(su.largest) * float64(su.count) / float64(su.total)
+			co.report.Imbalance = max(co.report.Imbalance, imbalance)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,167 @@
+// Package demo runs the whole system in one process over loopback sockets,
+// drives callers through it while a plan changes or breaks parts of it, and
+// compares the callers' books with those of the backend servers afterwards.
+//
+// # Usage
+//
+//	re, err := demo.Run(ctx, demo.Options{Duration: 10 * time.Second, Seed: 7, Plan: "calm"}, os.Stdout)
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+)
+
+const (
+	startTimeout   = 10 * time.Second
+	startCheck     = 20 * time.Millisecond
+	yardlineFlows  = 120
+	ledgerFlows    = 40
+	slotsPerServer = 2
+	nodeCount      = balancerCount + yardlineHosts + ledgerwashHosts
+)
+
+// Options are the options of a demo.
+type Options struct {
+	// Duration is how long callers are served.
+	Duration time.Duration
+	// Seed seeds the callers, the servers and the plan's times.
+	Seed uint64
+	// Plan is the name of the plan.
+	Plan string
+}
+
+// Run runs a demo and returns its report. Progress is written to out.
+func Run(ctx context.Context, op Options, out io.Writer) (*Report, error) {
+	pl, err := findPlan(op.Plan)
+	if err != nil {
+		return nil, err
+	}
+	material, cleanup, err := throwAwayKeys()
+	if err != nil {
+		return nil, err
+	}
+	defer cleanup()
+
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	fl, err := startFleet(running, group, material, op.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if err := fl.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	re, err := serve(ctx, fl, pl, op, out)
+	stop()
+	if failure := group.Wait(); err == nil {
+		err = failure
+	}
+	return re, err
+}
+
+func throwAwayKeys() (*keys.Store, func(), error) {
+	folder, err := os.MkdirTemp("", "corneltiller-demo")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "create key folder")
+	}
+	cleanup := func() { _ = os.RemoveAll(folder) }
+	paths, err := keys.Generate(folder, time.Now())
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	material, err := keys.Open(paths)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return material, cleanup, nil
+}
+
+// awaitReady waits until every balancer knows every host.
+func (fl *fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !fl.ready() {
+		select {
+		case <-ctx.Done():
+			return errors.New("wait for the fleet: not every balancer knows every host")
+		case <-time.After(startCheck):
+		}
+	}
+	return nil
+}
+
+func (fl *fleet) ready() bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, ba := range fl.balancers {
+		if ba.balancer.KnownHosts() < len(fl.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
+// serve drives callers while the plan is followed, and compares the books.
+func serve(ctx context.Context, fl *fleet, pl plan, op Options, out io.Writer) (*Report, error) {
+	re := &Report{Plan: pl.name, Seed: op.Seed}
+	cb := &callerBook{}
+	tr := &traffic{authority: fl.material.Authority(), book: cb, seed: op.Seed}
+	start := time.Now()
+	driving, stop := context.WithTimeout(ctx, op.Duration)
+	defer stop()
+
+	var eg errgroup.Group
+	eg.Go(func() error { return tr.drive(driving, pl.streams(fl)) })
+	eg.Go(func() error {
+		return pl.follow(driving, fl, start, op.Duration, op.Seed, func(name string) {
+			fmt.Fprintf(out, "%5.1f s: %s\n", time.Since(start).Seconds(), name)
+		})
+	})
+	eg.Go(func() error {
+		showProgress(driving, cb, start, out)
+		return nil
+	})
+	if err := eg.Wait(); err != nil {
+		return nil, err
+	}
+	fl.shutdown()
+	re.StoreCalls = fl.platform.Calls().Total()
+	elapsed := time.Since(start).Seconds()
+	re.ControlBytesPerNodeSecond = float64(fl.sent.Load()) / nodeCount / elapsed
+	compare(re, cb, fl.books())
+	return re, nil
+}
+
+// streams returns the callers' traffic at the plan's load.
+func (pl plan) streams(fl *fleet) []stream {
+	perHost := slotsPerServer / workMean.Seconds()
+	return []stream{
+		{service: fl.services[0], flows: yardlineFlows, rate: pl.load * perHost * yardlineHosts},
+		{service: fl.services[1], flows: ledgerFlows, rate: pl.load * perHost * ledgerwashHosts, deferrable: true},
+	}
+}
+
+func showProgress(ctx context.Context, cb *callerBook, start time.Time, out io.Writer) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			fmt.Fprintf(out, "%5.1f s: %d requests\n", time.Since(start).Seconds(), cb.count())
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/fleet.go
@@ -0,0 +1,310 @@
+package demo
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"corneltiller.dev/corneltiller/internal/standin/backend"
+	"corneltiller.dev/corneltiller/internal/standin/fabric"
+	"corneltiller.dev/corneltiller/internal/standin/platform"
+	"corneltiller.dev/corneltiller/internal/standin/trial"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/agent"
+	"corneltiller.dev/corneltiller/internal/transport/balancer"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+)
+
+const (
+	balancerCount   = 3
+	yardlineHosts   = 7
+	ledgerwashHosts = 3
+
+	workMean   = 20 * time.Millisecond
+	stopWithin = 20 * time.Second
+)
+
+var (
+	loopback = netip.MustParseAddr("127.0.0.1")
+	anyPort  = netip.AddrPortFrom(loopback, 0)
+	domains  = []string{"scot-central-a", "scot-central-b", "scot-central-c"}
+)
+
+// instance is one running role.
+type instance struct {
+	// stop ends the role gracefully.
+	stop context.CancelFunc
+	// abort ends it as a crash would.
+	abort func()
+	// done is closed when the role has ended.
+	done chan struct{}
+}
+
+// host is one agent with its backend server.
+type host struct {
+	instance
+	agent   *agent.Agent
+	server  *backend.Server
+	service settings.Service
+	book    serverBook
+}
+
+// fleet is the whole system in one process.
+type fleet struct {
+	ctx      context.Context
+	group    *errgroup.Group
+	material *keys.Store
+	platform *platform.Server
+	store    *link.Listener
+	fabric   *fabric.Fabric
+	services []settings.Service
+	sent     atomic.Int64
+	seed     uint64
+
+	mu        sync.Mutex
+	balancers []*balancerInstance
+	hosts     []*host
+}
+
+// balancerInstance is one running balancer.
+type balancerInstance struct {
+	instance
+	balancer *balancer.Balancer
+}
+
+// startFleet starts every part of the fleet.
+func startFleet(ctx context.Context, group *errgroup.Group, material *keys.Store, seed uint64) (*fleet, error) {
+	fl := &fleet{ctx: ctx, group: group, material: material, platform: platform.New(), seed: seed}
+	if err := fl.startPlatform(); err != nil {
+		return nil, err
+	}
+	if err := fl.startFabric(); err != nil {
+		return nil, err
+	}
+	for range balancerCount {
+		if err := fl.addBalancer(); err != nil {
+			return nil, err
+		}
+	}
+	for range yardlineHosts {
+		if err := fl.addHost(fl.services[0], false); err != nil {
+			return nil, err
+		}
+	}
+	for range ledgerwashHosts {
+		if err := fl.addHost(fl.services[1], false); err != nil {
+			return nil, err
+		}
+	}
+	return fl, nil
+}
+
+func (fl *fleet) startPlatform() error {
+	var err error
+	if fl.store, err = link.Listen(fl.ctx, anyPort, nil, fl.platform); err != nil {
+		return errors.Wrap(err, "start platform")
+	}
+	fl.group.Go(func() error { return fl.store.Run(fl.ctx) })
+	return nil
+}
+
+func (fl *fleet) startFabric() error {
+	fa, err := fabric.Open(fl.ctx, fabric.Settings{
+		Services: []netip.AddrPort{anyPort, anyPort},
+		Answers:  anyPort,
+		Seed:     fl.seed,
+	})
+	if err != nil {
+		return errors.Wrap(err, "start fabric")
+	}
+	fl.fabric = fa
+	fl.services = trial.Services(loopback)
+	for i, address := range fa.Services() {
+		fl.services[i].Addresses = []netip.AddrPort{address}
+	}
+	fl.group.Go(func() error { return fa.Run(fl.ctx) })
+	return nil
+}
+
+// common returns the settings that every role of the demo shares.
+func (fl *fleet) common(position int) settings.Common {
+	return settings.Common{
+		Domain:     domains[position%len(domains)],
+		Control:    anyPort,
+		Metrics:    anyPort,
+		StopWithin: settings.Duration(stopWithin),
+	}
+}
+
+// seeds returns the control addresses of the balancers.
+func (fl *fleet) seeds() []netip.AddrPort {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var list []netip.AddrPort
+	for _, ba := range fl.balancers {
+		list = append(list, ba.balancer.Control())
+	}
+	return list
+}
+
+// addBalancer starts one more balancer and shows it to the fabric.
+func (fl *fleet) addBalancer() error {
+	fl.mu.Lock()
+	position := len(fl.balancers)
+	fl.mu.Unlock()
+	st := settings.DefaultBalancer()
+	st.Common = fl.common(position)
+	st.Callers = anyPort
+	st.Hosts = anyPort
+	st.Fabric = fl.fabric.Answers()
+	st.Platform = fl.store.Address()
+	st.Seeds = fl.seeds()
+	st.Services = fl.services
+	ba, err := balancer.Open(fl.ctx, balancer.Config{Balancer: st, Material: fl.material, Board: gauge.NewBoard()})
+	if err != nil {
+		return errors.Wrap(err, "start balancer")
+	}
+	bi := &balancerInstance{balancer: ba}
+	bi.instance = fl.run(ba.Run, ba.Abort)
+	fl.mu.Lock()
+	fl.balancers = append(fl.balancers, bi)
+	fl.mu.Unlock()
+	fl.fabric.Add(fabric.Target{Callers: ba.Callers(), Metrics: ba.Metrics()})
+	return nil
+}
+
+// addHost starts a backend server and its agent.
+func (fl *fleet) addHost(sv settings.Service, late bool) error {
+	fl.mu.Lock()
+	position := len(fl.hosts)
+	fl.mu.Unlock()
+	se, err := fl.startServer(sv, position)
+	if err != nil {
+		return err
+	}
+	st := settings.DefaultAgent()
+	st.Common = fl.common(position)
+	st.Datagrams = anyPort
+	st.Service = sv.ID
+	st.Backend = se.Address()
+	st.Seeds = fl.seeds()
+	ag, err := agent.Open(fl.ctx, agent.Config{Agent: st, Material: fl.material, Board: gauge.NewBoard()})
+	if err != nil {
+		return errors.Wrap(err, "start agent")
+	}
+	ho := &host{agent: ag, server: se, service: sv}
+	ho.book = serverBook{address: se.Address(), service: sv.Name}
+	if late {
+		ho.book.joinedAt = time.Now()
+	}
+	ho.instance = fl.run(ag.Run, ag.Abort)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.hosts = append(fl.hosts, ho)
+	return nil
+}
+
+func (fl *fleet) startServer(sv settings.Service, position int) (*backend.Server, error) {
+	st := backend.Defaults()
+	st.Address = anyPort
+	st.Service = sv.Name
+	st.MeanWork = settings.Duration(workMean)
+	st.Seed = fl.seed<<8 + uint64(position)
+	se, err := backend.Open(fl.ctx, st)
+	if err != nil {
+		return nil, errors.Wrap(err, "start backend server")
+	}
+	fl.group.Go(func() error { return se.Run(fl.ctx) })
+	return se, nil
+}
+
+// run starts a role and returns how to end it.
+func (fl *fleet) run(role func(context.Context) error, abort func()) instance {
+	ctx, stop := context.WithCancel(fl.ctx)
+	done := make(chan struct{})
+	fl.group.Go(func() error {
+		defer close(done)
+		defer stop()
+		return role(ctx)
+	})
+	return instance{stop: stop, abort: abort, done: done}
+}
+
+// replaceBalancer stops a balancer gracefully and starts another in its place.
+func (fl *fleet) replaceBalancer(position int) error {
+	fl.mu.Lock()
+	ba := fl.balancers[position]
+	fl.mu.Unlock()
+	if err := fl.addBalancer(); err != nil {
+		return err
+	}
+	ba.stop()
+	<-ba.done
+	return nil
+}
+
+// crashBalancer ends a balancer as a crash would.
+func (fl *fleet) crashBalancer(position int) {
+	fl.mu.Lock()
+	ba := fl.balancers[position]
+	fl.mu.Unlock()
+	ba.abort()
+	<-ba.done
+}
+
+// drainHost stops a host gracefully.
+func (fl *fleet) drainHost(position int) {
+	fl.mu.Lock()
+	ho := fl.hosts[position]
+	ho.book.drainedAt = time.Now()
+	fl.mu.Unlock()
+	ho.stop()
+}
+
+// crashHost ends an agent as a crash would.
+func (fl *fleet) crashHost(position int) {
+	fl.mu.Lock()
+	ho := fl.hosts[position]
+	ho.book.crashedAt = time.Now()
+	fl.mu.Unlock()
+	ho.abort()
+}
+
+// books returns the books of all servers.
+func (fl *fleet) books() []serverBook {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var list []serverBook
+	for _, ho := range fl.hosts {
+		sb := ho.book
+		sb.runs = ho.server.Book.Runs()
+		list = append(list, sb)
+	}
+	return list
+}
+
+// shutdown stops every host and balancer gracefully and waits for them.
+func (fl *fleet) shutdown() {
+	fl.mu.Lock()
+	var instances []instance
+	for _, ho := range fl.hosts {
+		instances = append(instances, ho.instance)
+	}
+	for _, ba := range fl.balancers {
+		instances = append(instances, ba.instance)
+	}
+	fl.mu.Unlock()
+	for _, in := range instances {
+		in.stop()
+	}
+	for _, in := range instances {
+		<-in.done
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/plan.go
@@ -0,0 +1,140 @@
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	ordinaryLoad = 0.4
+	overload     = 1.5
+)
+
+// plan is what is done to the fleet while callers are served.
+type plan struct {
+	name string
+	// load is what callers offer, as a share of what the slots can do.
+	load float64
+	// steps are done one after another.
+	steps []step
+}
+
+// step is one thing done to the fleet.
+type step struct {
+	// at is the share of the demo's time at which the step begins.
+	at   float64
+	name string
+	do   func(ctx context.Context, fl *fleet, random *rand.Rand) error
+}
+
+// plans returns every plan by its name.
+func plans() []plan {
+	return []plan{
+		{name: "calm", load: ordinaryLoad},
+		{name: "rolling", load: ordinaryLoad, steps: rollingSteps()},
+		{name: "drain", load: ordinaryLoad, steps: drainSteps()},
+		{name: "crash", load: ordinaryLoad, steps: crashSteps()},
+		{name: "overload", load: overload},
+	}
+}
+
+// PlanNames returns the names of all plans.
+func PlanNames() []string {
+	var names []string
+	for _, pl := range plans() {
+		names = append(names, pl.name)
+	}
+	return names
+}
+
+func findPlan(name string) (plan, error) {
+	for _, pl := range plans() {
+		if pl.name == name {
+			return pl, nil
+		}
+	}
+	return plan{}, errors.Errorf("find plan %q: want one of %v", name, PlanNames())
+}
+
+func rollingSteps() []step {
+	var steps []step
+	for i := range balancerCount {
+		steps = append(steps, step{
+			at:   0.1 + 0.25*float64(i),
+			name: "replace balancer",
+			do:   func(_ context.Context, fl *fleet, _ *rand.Rand) error { return fl.replaceBalancer(i) },
+		})
+	}
+	return steps
+}
+
+func drainSteps() []step {
+	drain := func(_ context.Context, fl *fleet, random *rand.Rand) error {
+		if err := fl.addHost(fl.services[0], true); err != nil {
+			return err
+		}
+		fl.drainHost(fl.anySteadyHost(0, random))
+		return nil
+	}
+	other := func(_ context.Context, fl *fleet, random *rand.Rand) error {
+		if err := fl.addHost(fl.services[1], true); err != nil {
+			return err
+		}
+		fl.drainHost(fl.anySteadyHost(1, random))
+		return nil
+	}
+	return []step{
+		{at: 0.1, name: "drain host", do: drain},
+		{at: 0.25, name: "drain host of the other service", do: other},
+		{at: 0.4, name: "drain host", do: drain},
+	}
+}
+
+func crashSteps() []step {
+	return []step{
+		{at: 0.2, name: "crash balancer", do: func(_ context.Context, fl *fleet, random *rand.Rand) error {
+			fl.crashBalancer(random.IntN(balancerCount))
+			return nil
+		}},
+		{at: 0.4, name: "crash host", do: func(_ context.Context, fl *fleet, random *rand.Rand) error {
+			fl.crashHost(fl.anySteadyHost(0, random))
+			return nil
+		}},
+	}
+}
+
+// anySteadyHost returns the position of a host of the service that nothing was
+// done to.
+func (fl *fleet) anySteadyHost(service int, random *rand.Rand) int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var positions []int
+	for i, ho := range fl.hosts {
+		if ho.service.ID == fl.services[service].ID && ho.book.steady() {
+			positions = append(positions, i)
+		}
+	}
+	return positions[random.IntN(len(positions))]
+}
+
+// follow does the plan's steps at their times.
+func (pl plan) follow(ctx context.Context, fl *fleet, start time.Time, length time.Duration, seed uint64, progress func(string)) error {
+	random := rand.New(rand.NewPCG(seed, 99))
+	for _, st := range pl.steps {
+		jitter := (random.Float64() - 0.5) / 10
+		at := start.Add(time.Duration((st.at + st.at*jitter) * float64(length)))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Until(at)):
+		}
+		progress(st.name)
+		if err := st.do(ctx, fl, random); err != nil {
+			return errors.Wrap(err, st.name)
+		}
+	}
+	return nil
+}
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -53,12 +53,18 @@
 
 // Fleet holds the settings of every process of the trial fleet.
 type Fleet struct {
+	Platform  netip.AddrPort
 	Fabric    fabric.Settings
 	Balancers []settings.Balancer
 	Agents    []settings.Agent
 	Backends  []backend.Settings
 }
 
+// platformSettings are the settings of the platform's stand-in.
+type platformSettings struct {
+	Address netip.AddrPort
+}
+
 // Process is one process of the fleet.
 type Process struct {
 	// Name is unique in the fleet.
@@ -83,7 +89,7 @@
 
 // New returns the settings of a fleet whose processes all use one address.
 func New(host netip.Addr, paths keys.Paths) *Fleet {
-	fl := &Fleet{}
+	fl := &Fleet{Platform: netip.AddrPortFrom(host, platformPort)}
 	services := Services(host)
 	seeds := make([]netip.AddrPort, 0, balancerCount)
 	for i := range balancerCount {
@@ -155,6 +161,7 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Wrap(err, "create settings folder")
 	}
+	wr.add("platform", platformSettings{Address: fl.Platform}, "standin", "platform")
 	for i, be := range fl.Backends {
 		wr.add(fmt.Sprintf("backend-%d", i), be, "standin", "backend")
 	}
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -62,6 +62,8 @@
 	metrics   *link.Listener
 	pool      *link.Pool
 	backend   *http.Client
+	abortOnce sync.Once
+	aborted   chan struct{}
 
 	mu     sync.Mutex
 	record register.Host
@@ -75,6 +77,7 @@
 		envelopes: envelope.NewCodec(cfg.Material.Secret()),
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
 		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
+		aborted:   make(chan struct{}),
 	}
 	var err error
 	if ag.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
@@ -151,6 +154,8 @@
 	select {
 	case <-ctx.Done():
 		ag.drain(time.Now().Add(time.Duration(ag.cfg.StopWithin)))
+	case <-ag.aborted:
+		ag.socket.Close()
 	case <-serving.Done():
 	}
 	stop()
@@ -164,6 +169,11 @@
 	return err
 }
 
+// Abort ends Run at once, as a crash would.
+func (ag *Agent) Abort() {
+	ag.abortOnce.Do(func() { close(ag.aborted) })
+}
+
 // drain announces that the host leaves, and waits until the open requests have
 // ended, at most until the deadline.
 func (ag *Agent) drain(deadline time.Time) {
--- a/internal/transport/agent/relay.go
+++ b/internal/transport/agent/relay.go
@@ -170,3 +170,13 @@
 func (re *relay) SetWriteDeadline(time.Time) error {
 	return nil
 }
+
+// SetReadBuffer does nothing: the relay's queue has a fixed size.
+func (re *relay) SetReadBuffer(int) error {
+	return nil
+}
+
+// SetWriteBuffer does nothing: the socket below has its own buffer.
+func (re *relay) SetWriteBuffer(int) error {
+	return nil
+}
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,8 @@
 	steer     atomic.Pointer[Steer]
 	directory *directory
 	counts    counts
+	abortOnce sync.Once
+	aborted   chan struct{}
 }
 
 // counts are the metrics of the hot path.
@@ -73,7 +76,7 @@
 
 // Open takes the balancer's addresses.
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
-	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board)}
+	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
 	ba.directory = newDirectory(ba)
 	ba.Apply(configurationOf(cfg.Services))
 	ba.directory.rebuild()
@@ -145,6 +148,7 @@
 	select {
 	case <-ctx.Done():
 		ba.drain(time.Now().Add(time.Duration(ba.cfg.StopWithin)))
+	case <-ba.aborted:
 	case <-serving.Done():
 	}
 	stop()
@@ -155,6 +159,11 @@
 	return err
 }
 
+// Abort ends Run at once, as a crash would.
+func (ba *Balancer) Abort() {
+	ba.abortOnce.Do(func() { close(ba.aborted) })
+}
+
 // drain waits until no datagram has arrived for a while, at most until the deadline.
 func (ba *Balancer) drain(deadline time.Time) {
 	ba.cfg.Board.SetReady(false)
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// KnownHosts returns the number of hosts that the balancer knows.
+func (ba *Balancer) KnownHosts() int {
+	ba.directory.mu.Lock()
+	defer ba.directory.mu.Unlock()
+	return len(ba.directory.hosts)
+}
+
 func (di *directory) run(ctx context.Context) error {
 	ticker := time.NewTicker(directoryCheck)
 	defer ticker.Stop()
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -9,6 +9,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"net/http"
@@ -34,6 +35,8 @@
 	Authority *x509.CertPool
 	// Name is the name that the service's certificate must have.
 	Name string
+	// Ended is called when a flow was ended by anything but Close, if set.
+	Ended func(err error)
 }
 
 // Caller is one flow to a service.
@@ -44,17 +47,45 @@
 
 // Open returns a caller that connects with its first request.
 func Open(cfg Config) *Caller {
-	return &Caller{
-		cfg: cfg,
-		transport: &http3.Transport{
-			TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: cfg.Authority, ServerName: cfg.Name},
-			QUICConfig: &quic.Config{
-				InitialPacketSize: initialPacketSize,
-				KeepAlivePeriod:   keepAlive,
-				MaxIdleTimeout:    idleTimeout,
-			},
+	ca := &Caller{cfg: cfg}
+	ca.transport = &http3.Transport{
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: cfg.Authority, ServerName: cfg.Name},
+		QUICConfig: &quic.Config{
+			InitialPacketSize: initialPacketSize,
+			KeepAlivePeriod:   keepAlive,
+			MaxIdleTimeout:    idleTimeout,
 		},
+		Dial: ca.dial,
 	}
+	return ca
+}
+
+// dial opens a flow and watches for its end.
+func (ca *Caller) dial(ctx context.Context, address string, tc *tls.Config, qc *quic.Config) (*quic.Conn, error) {
+	co, err := quic.DialAddrEarly(ctx, address, tc, qc)
+	if err != nil {
+		return nil, err
+	}
+	if ca.cfg.Ended != nil {
+		context.AfterFunc(co.Context(), func() { ca.ended(context.Cause(co.Context())) })
+	}
+	return co, nil
+}
+
+// ended reports the end of a flow unless this side asked for it.
+func (ca *Caller) ended(err error) {
+	var ae *quic.ApplicationError
+	if errors.As(err, &ae) && !ae.Remote {
+		return
+	}
+	ca.cfg.Ended(err)
+}
+
+// IsGoodbye reports whether a flow ended in the way that a graceful shutdown
+// ends it (RFC 9114, section 5.2).
+func IsGoodbye(err error) bool {
+	var ae *quic.ApplicationError
+	return errors.As(err, &ae) && ae.Remote && http3.ErrCode(ae.ErrorCode) == http3.ErrCodeNoError
 }
 
 // Do sends a request, whose URL needs only a path, and returns the answer.
