perf: the balancer's routing decision allocates nothing

Cause: the scratch block of the connection ID and the envelope escaped through interface and function calls: 330 ns and 232 bytes a decision. Each worker now holds its own decoder and envelope.

--- /dev/null
+++ b/internal/protocol/envelope/envelope_test.go
@@ -0,0 +1,119 @@
+package envelope
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// A first QUIC packet must cross an IPv4 path of this size with its envelope.
+const (
+	smallestPath   = 1280 // bytes
+	firstPacket    = 1200 // bytes
+	ipAndUDPHeader = 28   // bytes
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func drawShort(t *rapid.T, label string) netip.AddrPort {
+	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, label))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(t, label+" port"))
+}
+
+func drawCaller(t *rapid.T) netip.AddrPort {
+	if rapid.Bool().Draw(t, "short") {
+		return drawShort(t, "caller")
+	}
+	ip := [16]byte(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "caller"))
+	ip[0] = 0x20
+	return netip.AddrPortFrom(netip.AddrFrom16(ip), rapid.Uint16().Draw(t, "caller port"))
+}
+
+func drawEnvelope(t *rapid.T) Envelope {
+	en := Envelope{
+		Kind:     Kind(rapid.IntRange(0, 1).Draw(t, "kind")),
+		Index:    uint8(rapid.IntRange(0, 3).Draw(t, "index")),
+		Count:    uint8(rapid.IntRange(0, MaxChain).Draw(t, "count")),
+		Service:  register.ServiceID(rapid.Uint32Range(0, uint32(register.MaxServiceID)).Draw(t, "service")),
+		Entry:    rapid.Uint8().Draw(t, "entry"),
+		Version:  rapid.Uint32Range(0, 1<<24-1).Draw(t, "version"),
+		Caller:   drawCaller(t),
+		Balancer: drawShort(t, "balancer"),
+	}
+	for i := range en.Count {
+		en.Chain[i] = Hop{Address: drawShort(t, "hop"), Incarnation: rapid.Uint16().Draw(t, "incarnation")}
+	}
+	return en
+}
+
+func TestEveryEnvelopeComesBack(t *testing.T) {
+	co := NewCodec([]byte("secret"))
+	rapid.Check(t, func(t *rapid.T) {
+		en := drawEnvelope(t)
+		payload := rapid.SliceOf(rapid.Byte()).Draw(t, "payload")
+		datagram, err := co.Append(nil, &en, payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Envelope
+		rest, err := co.Decode(datagram, &got)
+		if err != nil || got != en || string(rest) != string(payload) {
+			t.Fatalf("got %v %v, want %v", got, err, en)
+		}
+		position := rapid.IntRange(0, len(datagram)-len(payload)-1).Draw(t, "position")
+		datagram[position] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		if _, err := co.Decode(datagram, &got); err == nil {
+			t.Fatalf("accepted a header with byte %d changed", position)
+		}
+	})
+}
+
+func TestFirstPacketCrossesTheSmallestPath(t *testing.T) {
+	convey.Convey("The largest envelope of an IPv4 caller leaves room for a first packet", t, func() {
+		hop := Hop{Address: netip.MustParseAddrPort("10.0.0.1:1")}
+		en := Envelope{
+			Count:    MaxChain,
+			Chain:    [MaxChain]Hop{hop, hop, hop},
+			Caller:   netip.MustParseAddrPort("198.51.100.1:1"),
+			Balancer: hop.Address,
+		}
+		datagram, err := NewCodec([]byte("secret")).Append(nil, &en, make([]byte, firstPacket))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(datagram), convey.ShouldBeLessThanOrEqualTo, smallestPath-ipAndUDPHeader)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	co := NewCodec([]byte("secret"))
+	en := Envelope{
+		Count:    1,
+		Chain:    [MaxChain]Hop{{Address: netip.MustParseAddrPort("10.0.0.1:1")}},
+		Caller:   netip.MustParseAddrPort("[2001:db8::1]:1"),
+		Balancer: netip.MustParseAddrPort("10.0.0.2:2"),
+	}
+	good, err := co.Append(nil, &en, []byte("payload"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:5])
+	f.Add([]byte{0x40})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		var got Envelope
+		payload, err := co.Decode(datagram, &got)
+		if err == nil && len(payload) >= len(datagram) {
+			t.Fatal("payload is longer than the datagram allows")
+		}
+	})
+}
--- a/internal/protocol/label/label.go
+++ b/internal/protocol/label/label.go
@@ -15,7 +15,7 @@
 //
 //	co, err := label.NewCodec(secret)
 //	id := co.Encode(label.Place{Service: 7, Host: address, Incarnation: 1}, random)
-//	pl, ok := co.Decode(id[:])
+//	pl, ok := co.NewDecoder().Decode(id[:])
 package label
 
 import (
@@ -105,18 +105,28 @@
 	return id
 }
 
+// Decoder decodes connection IDs without allocating. It belongs to one goroutine.
+type Decoder struct {
+	codec *Codec
+	block [aes.BlockSize]byte
+}
+
+// NewDecoder returns a decoder for the codec's IDs.
+func (co *Codec) NewDecoder() *Decoder {
+	return &Decoder{codec: co}
+}
+
 // Decode returns the place that a connection ID names. It returns false for an
 // ID that no agent of this deployment has issued.
-func (co *Codec) Decode(id []byte) (Place, bool) {
+func (de *Decoder) Decode(id []byte) (Place, bool) {
 	if len(id) != Length {
 		return Place{}, false
 	}
-	cb := co.blocks[id[phaseOffset]&phaseMask]
+	cb := de.codec.blocks[id[phaseOffset]&phaseMask]
 	if cb == nil {
 		return Place{}, false
 	}
-	var scratch ID
-	bl := scratch[:aes.BlockSize]
+	bl := de.block[:]
 	cb.Decrypt(bl, id[blockOffset:])
 	if [saltLength]byte(bl[13:16]) != [saltLength]byte(id[saltOffset:blockOffset]) {
 		return Place{}, false
--- /dev/null
+++ b/internal/protocol/label/label_test.go
@@ -0,0 +1,101 @@
+package label
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func codec(tb testing.TB, secrets ...string) *Codec {
+	tb.Helper()
+	var list [][]byte
+	for _, se := range secrets {
+		list = append(list, []byte(se))
+	}
+	co, err := NewCodec(list...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return co
+}
+
+func drawPlace(t *rapid.T) Place {
+	ip := [4]byte(rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip"))
+	return Place{
+		Service:     register.ServiceID(rapid.Uint32Range(0, uint32(register.MaxServiceID)).Draw(t, "service")),
+		Host:        netip.AddrPortFrom(netip.AddrFrom4(ip), rapid.Uint16().Draw(t, "port")),
+		Incarnation: rapid.Uint16().Draw(t, "incarnation"),
+	}
+}
+
+func TestEveryPlaceComesBack(t *testing.T) {
+	co := codec(t, "first secret")
+	rapid.Check(t, func(t *rapid.T) {
+		pl := drawPlace(t)
+		salt := [saltLength]byte(rapid.SliceOfN(rapid.Byte(), saltLength, saltLength).Draw(t, "salt"))
+		id := co.Encode(pl, Random{Salt: salt, Nonce: rapid.Uint16().Draw(t, "nonce")})
+		got, ok := co.NewDecoder().Decode(id[:])
+		if !ok || got != pl {
+			t.Fatalf("got %v %v, want %v", got, ok, pl)
+		}
+	})
+}
+
+func TestForeignIDsAreRefused(t *testing.T) {
+	pl := Place{Service: 7, Host: netip.MustParseAddrPort("10.0.0.1:443"), Incarnation: 3}
+	own := codec(t, "first secret")
+	id := own.Encode(pl, Random{Salt: [3]byte{1, 2, 3}, Nonce: 9})
+	convey.Convey("A connection ID is refused", t, func() {
+		convey.Convey("by another deployment", func() {
+			_, ok := codec(t, "other secret").NewDecoder().Decode(id[:])
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+		convey.Convey("with any byte of salt or block changed", func() {
+			for i := saltOffset; i < Length; i++ {
+				changed := id
+				changed[i] ^= 0x10
+				_, ok := own.NewDecoder().Decode(changed[:])
+				convey.So(ok, convey.ShouldBeFalse)
+			}
+		})
+		convey.Convey("with another length", func() {
+			_, ok := own.NewDecoder().Decode(id[:Length-1])
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
+
+func TestSecretsRotate(t *testing.T) {
+	convey.Convey("An ID of the former secret is still understood", t, func() {
+		pl := Place{Service: 1, Host: netip.MustParseAddrPort("10.0.0.1:443"), Incarnation: 1}
+		former := codec(t, "first secret").Encode(pl, Random{})
+		got, ok := codec(t, "first secret", "second secret").NewDecoder().Decode(former[:])
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(got, convey.ShouldResemble, pl)
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{0x40})
+	f.Add([]byte{0xC0, 0, 0, 0, 1, 8, 1, 2, 3, 4, 5, 6, 7, 8})
+	f.Add([]byte{0xC0, 0, 0, 0, 1, 255})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		packet, ok := Parse(datagram)
+		if ok && len(packet.Destination) > maxIDLength {
+			t.Fatalf("connection ID of %d bytes", len(packet.Destination))
+		}
+	})
+}
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -138,8 +138,12 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	eg, serving := errgroup.WithContext(serving)
-	eg.Go(func() error { return ba.callers.Serve(ba.fromFabric) })
-	eg.Go(func() error { return ba.hosts.Serve(ba.fromHost) })
+	eg.Go(func() error {
+		return ba.callers.ServeEach(func() socket.Handler { return ba.newForwarder().fromFabric })
+	})
+	eg.Go(func() error {
+		return ba.hosts.ServeEach(func() socket.Handler { return (&returner{balancer: ba}).fromHost })
+	})
 	eg.Go(func() error { return ba.control.Run(serving) })
 	eg.Go(func() error { return ba.metrics.Run(serving) })
 	eg.Go(func() error { return ba.directory.run(serving) })
--- a/internal/transport/balancer/forward.go
+++ b/internal/transport/balancer/forward.go
@@ -9,19 +9,31 @@
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
+// forwarder holds what one worker needs for the datagrams of callers.
+type forwarder struct {
+	balancer *Balancer
+	decoder  *label.Decoder
+	envelope envelope.Envelope
+}
+
+func (ba *Balancer) newForwarder() *forwarder {
+	return &forwarder{balancer: ba, decoder: ba.labels.NewDecoder()}
+}
+
 // fromFabric takes a caller's datagram in the fabric's frame.
-func (ba *Balancer) fromFabric(wo *socket.Worker, _ netip.AddrPort, datagram []byte) {
+func (fo *forwarder) fromFabric(wo *socket.Worker, _ netip.AddrPort, datagram []byte) {
 	he, payload, err := frame.Decode(datagram)
 	if err != nil {
-		ba.counts.malformed.Inc(1)
+		fo.balancer.counts.malformed.Inc(1)
 		return
 	}
-	ba.forward(wo, he, payload)
+	fo.forward(wo, he, payload)
 }
 
 // forward sends a caller's datagram to the host that its connection ID names,
 // or to the first candidate of its bucket.
-func (ba *Balancer) forward(wo *socket.Worker, he frame.Header, payload []byte) {
+func (fo *forwarder) forward(wo *socket.Worker, he frame.Header, payload []byte) {
+	ba := fo.balancer
 	ad := ba.addresses.Load()
 	place, ok := ad.entries[he.Service]
 	if !ok {
@@ -33,7 +45,7 @@
 		ba.counts.malformed.Inc(1)
 		return
 	}
-	en := envelope.Envelope{
+	fo.envelope = envelope.Envelope{
 		Kind:     envelope.KindToHost,
 		Service:  place.service,
 		Entry:    place.index,
@@ -41,15 +53,15 @@
 		Caller:   he.Caller,
 		Balancer: ba.answers,
 	}
-	if !ba.aim(&en, packet) {
-		return
+	if fo.aim(packet) {
+		fo.send(wo, payload)
 	}
-	ba.send(wo, &en, payload)
 }
 
 // aim fills the chain. It returns false for a packet that must be dropped.
-func (ba *Balancer) aim(en *envelope.Envelope, packet label.Packet) bool {
-	if pl, ok := ba.labels.Decode(packet.Destination); ok {
+func (fo *forwarder) aim(packet label.Packet) bool {
+	ba, en := fo.balancer, &fo.envelope
+	if pl, ok := fo.decoder.Decode(packet.Destination); ok {
 		if pl.Service != en.Service {
 			ba.counts.wrongService.Inc(1)
 			return false
@@ -71,7 +83,8 @@
 	return true
 }
 
-func (ba *Balancer) send(wo *socket.Worker, en *envelope.Envelope, payload []byte) {
+func (fo *forwarder) send(wo *socket.Worker, payload []byte) {
+	ba, en := fo.balancer, &fo.envelope
 	datagram, err := ba.envelopes.Append(wo.Scratch[:0], en, payload)
 	if err != nil {
 		ba.counts.malformed.Inc(1)
@@ -84,15 +97,21 @@
 	ba.counts.forwarded.Inc(1)
 }
 
+// returner holds what one worker needs for the answers of agents.
+type returner struct {
+	balancer *Balancer
+	envelope envelope.Envelope
+}
+
 // fromHost takes an agent's answer and sends it to the caller.
-func (ba *Balancer) fromHost(wo *socket.Worker, _ netip.AddrPort, datagram []byte) {
-	var en envelope.Envelope
-	payload, err := ba.envelopes.Decode(datagram, &en)
+func (rt *returner) fromHost(wo *socket.Worker, _ netip.AddrPort, datagram []byte) {
+	ba, en := rt.balancer, &rt.envelope
+	payload, err := ba.envelopes.Decode(datagram, en)
 	if err != nil || en.Kind != envelope.KindToCaller {
 		ba.counts.malformed.Inc(1)
 		return
 	}
-	address, ok := ba.addresses.Load().at(&en)
+	address, ok := ba.addresses.Load().at(en)
 	if !ok {
 		ba.counts.unknownService.Inc(1)
 		return
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -80,8 +80,15 @@
 
 // Serve hands every datagram to the handler until the sockets are closed.
 func (so *Socket) Serve(ha Handler) error {
+	return so.ServeEach(func() Handler { return ha })
+}
+
+// ServeEach is like Serve with a handler of its own for each worker, which may
+// hold buffers that the worker alone uses.
+func (so *Socket) ServeEach(create func() Handler) error {
 	var eg errgroup.Group
 	for _, wo := range so.workers {
+		ha := create()
 		eg.Go(func() error { return wo.serve(ha) })
 	}
 	return eg.Wait()
