--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"corneltiller.dev/corneltiller/internal/standin/backend"
 	"corneltiller.dev/corneltiller/internal/standin/fabric"
 	"corneltiller.dev/corneltiller/internal/standin/platform"
+	"corneltiller.dev/corneltiller/internal/standin/trial"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
 )
@@ -22,6 +26,7 @@
 			standinFabricCommand(),
 			standinBackendCommand(),
 			standinKeysCommand(),
+			standinFleetCommand(),
 		},
 	}
 }
@@ -73,6 +78,37 @@
 	Folder string `long:"folder" description:"Folder to write the keys to" default:"settings/keys"`
 }
 
+// fleetOptions are the options of standin fleet.
+type fleetOptions struct {
+	Folder string `long:"folder" description:"Folder to write the settings to" default:"settings"`
+	Keys   string `long:"keys" description:"Folder with the keys that standin keys wrote" default:"settings/keys"`
+	Host   string `long:"host" description:"Address that all processes use" default:"127.0.0.1"`
+}
+
+func standinFleetCommand() *command {
+	op := &fleetOptions{}
+	return &command{
+		name:    "fleet",
+		short:   "Write the settings of a trial fleet",
+		long:    "Write the settings of a platform, a fabric, three balancers and ten hosts on loopback, and print each process's name and arguments in the order in which to start them.",
+		options: op,
+		action: func(ru *run, _ []string) error {
+			host, err := netip.ParseAddr(op.Host)
+			if err != nil {
+				return &exitError{code: ExitUsage, err: errors.Wrap(err, "read host address")}
+			}
+			processes, err := trial.New(host, keys.GeneratePaths(op.Keys)).Write(op.Folder)
+			if err != nil {
+				return err
+			}
+			for _, pr := range processes {
+				fmt.Fprintln(ru.out, pr.Name, strings.Join(pr.Arguments, " "))
+			}
+			return nil
+		},
+	}
+}
+
 func standinKeysCommand() *command {
 	op := &keysOptions{}
 	return &command{
