feat: balancers take the services' addresses themselves

They follow the configuration in force. Tested over loopback: a datagram reaches its host and the answer comes from the service's address; a removed address is given back; a connection ID of another service is dropped and counted.

--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -93,7 +93,8 @@
 	Callers netip.AddrPort
 	// Hosts is the address on which agents' answers arrive.
 	Hosts netip.AddrPort
-	// Fabric is where answers are sent when the fabric wraps datagrams in frames.
+	// Fabric is where answers are sent when the fabric wraps datagrams in
+	// frames. Without it the balancer takes the services' addresses itself.
 	Fabric netip.AddrPort
 	// Platform is the address of the platform's object API.
 	Platform netip.AddrPort
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -52,6 +52,7 @@
 	addresses atomic.Pointer[addresses]
 	steer     atomic.Pointer[Steer]
 	directory *directory
+	entrances *entrances
 	counts    counts
 	abortOnce sync.Once
 	aborted   chan struct{}
@@ -78,9 +79,7 @@
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
 	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
 	ba.directory = newDirectory(ba)
-	ba.Apply(configurationOf(cfg.Services))
-	ba.directory.rebuild()
-
+	ba.entrances = newEntrances(ba)
 	var err error
 	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
 		return nil, err
@@ -93,6 +92,8 @@
 		return nil, err
 	}
 	ba.answers = ba.hosts.Address()
+	ba.Apply(configurationOf(cfg.Services))
+	ba.directory.rebuild()
 	mux := link.NewMux()
 	ba.directory.register(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
@@ -116,7 +117,16 @@
 
 // Apply puts a configuration in force.
 func (ba *Balancer) Apply(cfg *catalog.Configuration) {
-	ba.addresses.Store(newAddresses(cfg))
+	ad := newAddresses(cfg)
+	ba.addresses.Store(ad)
+	if !ba.framed() {
+		ba.entrances.set(ad)
+	}
+}
+
+// framed reports whether the fabric wraps callers' datagrams in frames.
+func (ba *Balancer) framed() bool {
+	return ba.cfg.Fabric.IsValid()
 }
 
 // Callers returns the address for the fabric's datagrams.
@@ -157,6 +167,7 @@
 	}
 	stop()
 	ba.callers.Close()
+	ba.entrances.close()
 	ba.hosts.Close()
 	err := eg.Wait()
 	klog.InfoS("Balancer stopped", "Hosts", ba.Hosts())
--- a/internal/transport/balancer/forward.go
+++ b/internal/transport/balancer/forward.go
@@ -3,12 +3,16 @@
 import (
 	"net/netip"
 
+	"github.com/go-faster/errors"
+
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/frame"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
+var errNoEntrance = errors.New("service address isn't open here")
+
 // forwarder holds what one worker needs for the datagrams of callers.
 type forwarder struct {
 	balancer *Balancer
@@ -117,9 +121,17 @@
 		return
 	}
 	he := frame.Header{Service: address, Caller: en.Caller}
-	if err := wo.Send(frame.Append(wo.Scratch[:0], he, payload), ba.cfg.Fabric); err != nil {
+	if err := ba.answer(wo, he, payload); err != nil {
 		ba.counts.sendFailed.Inc(1)
 		return
 	}
 	ba.counts.answered.Inc(1)
 }
+
+// answer sends a datagram to a caller, in a frame if the fabric wants one.
+func (ba *Balancer) answer(wo *socket.Worker, he frame.Header, payload []byte) error {
+	if ba.framed() {
+		return wo.Send(frame.Append(wo.Scratch[:0], he, payload), ba.cfg.Fabric)
+	}
+	return ba.entrances.send(he, payload)
+}
