fix: a flow of a restarted host ends at once

Cause: an agent that started again dropped the packets of its former incarnation's flows, and callers waited for their idle timeout of 60 s. All agents of a deployment now share the key of the stateless reset tokens. Proof: test/reset_test.go kills an agent and starts it again. Without the key the flow had not ended after 20 s (test failed); with it the flow ends with a stateless reset and is opened anew.

--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -113,10 +114,22 @@
 		place: label.Place{Service: ag.service, Host: ag.record.Address, Incarnation: uint16(ag.record.Incarnation)},
 	}
 	la.last.Store(startNonce())
-	ag.transport = &quic.Transport{Conn: ag.relay, ConnectionIDGenerator: la}
+	ag.transport = &quic.Transport{
+		Conn:                  ag.relay,
+		ConnectionIDGenerator: la,
+		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
+	}
 	ag.server = &http3.Server{Handler: ag}
 }
 
+// resetKey returns the key of the stateless reset tokens (RFC 9000, section
+// 10.3). All agents of a deployment share it, so that any of them can end a
+// flow whose host is gone.
+func resetKey(secret []byte) *quic.StatelessResetKey {
+	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("corneltiller stateless reset "), secret...)))
+	return &key
+}
+
 // Datagrams returns the address for enveloped datagrams.
 func (ag *Agent) Datagrams() netip.AddrPort { return ag.record.Address }
 
--- /dev/null
+++ b/test/reset_test.go
@@ -0,0 +1,114 @@
+package test
+
+import (
+	"context"
+	"crypto/x509"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/smartystreets/goconvey/convey"
+
+	"corneltiller.dev/corneltiller/internal/standin/backend"
+	"corneltiller.dev/corneltiller/internal/transport/caller"
+)
+
+const (
+	requestTimeout = 2 * time.Second
+	resetTimeout   = 20 * time.Second
+)
+
+// openCaller returns a flow to a service whose end without a goodbye is sent to
+// the channel.
+func (fl *fleet) openCaller(service int) (*caller.Caller, <-chan error) {
+	fl.tb.Helper()
+	bundle, err := os.ReadFile(fl.paths.Authority)
+	if err != nil {
+		fl.tb.Fatal(err)
+	}
+	authority := x509.NewCertPool()
+	authority.AppendCertsFromPEM(bundle)
+	ended := make(chan error, 8)
+	ca := caller.Open(caller.Config{
+		Service:   fl.Fabric.Services[service],
+		Authority: authority,
+		Name:      "localhost",
+		Ended:     func(err error) { ended <- err },
+	})
+	fl.tb.Cleanup(func() { ca.Close() })
+	return ca, ended
+}
+
+// status asks for a status and returns the server's answer.
+func status(ca *caller.Caller) (backend.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	var an backend.Answer
+	re, err := http.NewRequestWithContext(ctx, http.MethodGet, "/status", strings.NewReader(""))
+	if err != nil {
+		return an, err
+	}
+	answer, err := ca.Do(re)
+	if err != nil {
+		return an, err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return an, errors.New(answer.Status)
+	}
+	return an, json.NewDecoder(answer.Body).Decode(&an)
+}
+
+// agentOf returns the name of the agent process beside a backend server.
+func (fl *fleet) agentOf(an backend.Answer) string {
+	for i, be := range fl.Backends {
+		if be.Address == an.Host {
+			return "agent-" + string(rune('0'+i))
+		}
+	}
+	fl.tb.Fatalf("no backend server at %s", an.Host)
+	return ""
+}
+
+// restartedHostEndsItsFlows crashes a flow's agent, starts it again and
+// returns how the flow ended.
+func (fl *fleet) restartedHostEndsItsFlows() error {
+	ca, ended := fl.openCaller(0)
+	an, err := status(ca)
+	if err != nil {
+		fl.tb.Fatal(err)
+	}
+	name := fl.agentOf(an)
+	fl.signal(name, syscall.SIGKILL)
+	_ = fl.wait(name)
+	fl.start(name)
+	deadline := time.Now().Add(resetTimeout)
+	for time.Now().Before(deadline) {
+		select {
+		case err := <-ended:
+			_, again := status(ca)
+			if again != nil {
+				fl.tb.Fatalf("flow isn't opened again: %v", again)
+			}
+			return err
+		default:
+			_, _ = status(ca)
+		}
+	}
+	return nil
+}
+
+func TestFlowOfARestartedHostEndsWithAReset(t *testing.T) {
+	fl := startFleet(t)
+	convey.Convey("A flow whose agent crashed and started again ends with a stateless reset and is opened anew", t, func() {
+		err := fl.restartedHostEndsItsFlows()
+		var re *quic.StatelessResetError
+		convey.So(errors.As(err, &re), convey.ShouldBeTrue)
+	})
+}
