feat: cores of roster, delivery, transfer and membership

Cause: hosts and balancers announced themselves to nobody; no view, no failure detection, no spread under a budget.

--- /dev/null
+++ b/internal/coordination/delivery/bucket.go
@@ -0,0 +1,69 @@
+package delivery
+
+import "time"
+
+// The control budget of one node.
+const (
+	// BudgetBytesPerSecond is the sustained rate.
+	BudgetBytesPerSecond = 2000
+	// BudgetBurstBytes is what a node may send at once after a quiet time.
+	BudgetBurstBytes = 4000
+	// LivenessReserveBytes stay in the bucket for heartbeats and suspicions.
+	LivenessReserveBytes = 600
+	// FrameOverheadBytes is added to each message for framing and TLS.
+	FrameOverheadBytes = 30
+)
+
+// Bucket is a token bucket in bytes. The sum of all sends in any span of time
+// is at most the burst plus the rate times the span.
+type Bucket struct {
+	bytesPerSecond float64
+	burst          float64
+	tokens         float64
+	filled         time.Time
+	spent          uint64
+}
+
+// NewBucket returns a full bucket.
+func NewBucket(bytesPerSecond, burst int, now time.Time) *Bucket {
+	return &Bucket{
+		bytesPerSecond: float64(bytesPerSecond),
+		burst:          float64(burst),
+		tokens:         float64(burst),
+		filled:         now,
+	}
+}
+
+// Take spends the bytes if they are there and leave at least the reserve, and
+// reports whether it did. The frame's overhead is added.
+func (bu *Bucket) Take(now time.Time, bytes, reserve int) bool {
+	bu.fill(now)
+	cost := float64(bytes + FrameOverheadBytes)
+	if bu.tokens < cost+float64(reserve) {
+		return false
+	}
+	bu.tokens -= cost
+	bu.spent += uint64(cost)
+	return true
+}
+
+// Available returns how many message bytes could be sent now.
+func (bu *Bucket) Available(now time.Time, reserve int) int {
+	bu.fill(now)
+	return int(bu.tokens) - reserve - FrameOverheadBytes
+}
+
+// Spent returns the bytes taken since the start.
+func (bu *Bucket) Spent() uint64 {
+	return bu.spent
+}
+
+// fill adds the tokens earned since the last call.
+func (bu *Bucket) fill(now time.Time) {
+	if !now.After(bu.filled) {
+		return
+	}
+	bu.tokens += bu.bytesPerSecond * now.Sub(bu.filled).Seconds()
+	bu.tokens = min(bu.tokens, bu.burst)
+	bu.filled = now
+}
--- /dev/null
+++ b/internal/coordination/membership/run.go
@@ -0,0 +1,194 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/delivery"
+	"corneltiller.dev/corneltiller/internal/coordination/roster"
+	"corneltiller.dev/corneltiller/internal/coordination/transfer"
+)
+
+// runRoster turns actions of the roster's cores into those of the node.
+func (no *Node) runRoster(acts []Action, todo []roster.Action, now time.Time) []Action {
+	for _, act := range todo {
+		switch act := act.(type) {
+		case roster.Send:
+			msg := act.Message
+			acts = append(acts, Send{To: act.To, Message: Message{Roster: &msg}})
+		case roster.Publish:
+			acts = no.publishOwn(acts, act.Item, now)
+		}
+	}
+	return acts
+}
+
+// publishOwn spreads a record or a removal that this node wrote.
+func (no *Node) publishOwn(acts []Action, it delivery.Item, now time.Time) []Action {
+	todo, err := no.gossip.Publish(it, now)
+	if err != nil {
+		return append(acts, Rejected{From: no.self.Address, Err: err})
+	}
+	acts = no.runGossip(acts, todo, now)
+	acts = no.apply(acts, no.self.Address, it, now)
+	if it.Kind == delivery.KindHostRemoval || it.Kind == delivery.KindBalancerRemoval {
+		if re, err := roster.DecodeRemoval(it); err == nil {
+			acts = append(acts, Removed{Removal: re})
+		}
+	}
+	return acts
+}
+
+// runGossip turns actions of the gossip into those of the node.
+func (no *Node) runGossip(acts []Action, todo []delivery.Action, now time.Time) []Action {
+	for _, act := range todo {
+		switch act := act.(type) {
+		case delivery.Send:
+			msg := act.Message
+			acts = append(acts, Send{To: act.To, Message: Message{Gossip: &msg}})
+		case delivery.Accept:
+			acts = no.apply(acts, act.From, act.Item, now)
+		case delivery.Expire:
+			no.roster.Drop(act.Item)
+		}
+	}
+	return acts
+}
+
+// apply joins an item into the view, or hands it over. While the view of a
+// joining balancer is not open, records stay in the table only.
+func (no *Node) apply(acts []Action, from netip.AddrPort, it delivery.Item, now time.Time) []Action {
+	if it.Kind > delivery.KindBalancerRemoval {
+		return append(acts, Deliver{From: from, Item: it})
+	}
+	acts = no.defend(acts, it, now)
+	if !no.joined() {
+		return acts
+	}
+	return no.show(acts, from, it, now)
+}
+
+// show joins an item into the open view.
+func (no *Node) show(acts []Action, from netip.AddrPort, it delivery.Item, now time.Time) []Action {
+	if _, err := no.roster.Apply(it, now); err != nil {
+		return append(acts, Rejected{From: from, Err: err})
+	}
+	no.expireRemoved(it, now)
+	return acts
+}
+
+// defend outdoes an item about this node that another process wrote.
+func (no *Node) defend(acts []Action, it delivery.Item, now time.Time) []Action {
+	su, ok := roster.SubjectOf(it)
+	if !ok || su != no.announcer.Subject() || !no.announcer.Outdone(it) {
+		return acts
+	}
+	return no.runRoster(acts, no.announcer.Outdo(it.Revision), now)
+}
+
+// expireRemoved gives a record the lifetime of the removal that covers it, so
+// that both are dropped together.
+func (no *Node) expireRemoved(it delivery.Item, now time.Time) {
+	su, ok := roster.SubjectOf(it)
+	if !ok {
+		return
+	}
+	me, ok := no.roster.Member(su)
+	if !ok || me.Removal.Revision.Incarnation == 0 || me.Supersedes(me.Removal.Revision) {
+		return
+	}
+	deadline := me.RemovedAt.Add(roster.TombstoneSeconds * time.Second)
+	if deadline.After(now) {
+		no.gossip.Expire(roster.RecordIdentity(su), deadline)
+	}
+}
+
+// receiveTransfer handles a message about the transfer of the view.
+func (no *Node) receiveTransfer(acts []Action, from netip.AddrPort, msg transfer.Message, now time.Time) []Action {
+	if no.joiner == nil {
+		return acts
+	}
+	if msg.Request != nil {
+		todo := no.donor.Receive(from, *msg.Request, no.gossip.Table(), no.View(), no.joined(), now)
+		return no.runTransfer(acts, todo, now)
+	}
+	return no.runTransfer(acts, no.joiner.Receive(from, msg, now), now)
+}
+
+// runTransfer turns actions of the transfer into those of the node.
+func (no *Node) runTransfer(acts []Action, todo []transfer.Action, now time.Time) []Action {
+	for _, act := range todo {
+		switch act := act.(type) {
+		case transfer.Send:
+			msg := act.Message
+			acts = append(acts, Send{To: act.To, Message: Message{Transfer: &msg}})
+		case transfer.Load:
+			acts = no.runGossip(acts, no.gossip.Load(act.Items, now), now)
+		case transfer.Done:
+			acts = no.open(acts, act, now)
+		}
+	}
+	return acts
+}
+
+// open shows all items of the table and compares it with the donor's once
+// more.
+func (no *Node) open(acts []Action, done transfer.Done, now time.Time) []Action {
+	for _, it := range no.gossip.Table().Items(now) {
+		if it.Kind <= delivery.KindBalancerRemoval {
+			acts = no.show(acts, done.Donor, it, now)
+		}
+	}
+	no.marker = done.Marker
+	no.marker.Counter -= min(no.marker.Counter, no.roster.Changes())
+	if done.Donor.IsValid() {
+		acts = no.runGossip(acts, no.gossip.Compare(done.Donor, now), now)
+	}
+	return append(acts, Joined{Donor: done.Donor, View: no.View()})
+}
+
+// settle follows up on changes of the view: new peers, new watchers, and a
+// notice to the caller.
+func (no *Node) settle(acts []Action, now time.Time) []Action {
+	if no.roster.BalancerChanges() != no.seenBalancers ||
+		no.announcer.WatcherChanges() != no.seenWatchers {
+		acts = no.refresh(acts, now)
+	}
+	if no.roster.Changes() != no.seenChanges {
+		no.seenChanges = no.roster.Changes()
+		acts = append(acts, Changed{})
+	}
+	return acts
+}
+
+// refresh takes over the balancers of the view as peers and as candidates for
+// watchers; the seeds stand in while none is known.
+func (no *Node) refresh(acts []Action, now time.Time) []Action {
+	no.seenBalancers = no.roster.BalancerChanges()
+	peers := no.others(now)
+	todo := no.announcer.SetPeers(peers, no.roster.Len(), now)
+	no.seenWatchers = no.announcer.WatcherChanges()
+	if no.joiner == nil && len(no.announcer.Watchers()) > 0 {
+		peers = no.announcer.Watchers()
+	}
+	no.gossip.SetPeers(peers)
+	return no.runRoster(acts, todo, now)
+}
+
+// others returns the other balancers of the view, or the seeds if none is
+// known.
+func (no *Node) others(now time.Time) []delivery.Peer {
+	var peers []delivery.Peer
+	for _, pe := range no.roster.Peers(now) {
+		if pe.Address != no.self.Address {
+			peers = append(peers, pe)
+		}
+	}
+	if len(peers) > 0 {
+		return peers
+	}
+	for _, seed := range no.seeds {
+		peers = append(peers, delivery.Peer{Address: seed, Domain: no.self.Domain})
+	}
+	return peers
+}
