--- a/internal/coordination/delivery/peers.go
+++ b/internal/coordination/delivery/peers.go
@@ -23,12 +23,12 @@
 	CrossNeighbours = 1
 	// MaxNeighbours bounds the peers that deltas go to, those included that
 	// chose this node.
-	MaxNeighbours = 8
+	MaxNeighbours = 10
 	// NeighbourLifetime is how long a neighbour is kept, so that an unlucky
 	// overlay does not last.
 	NeighbourLifetime = 10 * time.Minute
 	// ReverseLifetime is how long a peer counts that chose this node.
-	ReverseLifetime = 10 * time.Second
+	ReverseLifetime = time.Minute
 )
 
 // neighbour is a peer that deltas are sent to.
@@ -47,7 +47,8 @@
 	chosen []neighbour
 }
 
-// setPeers replaces the set of candidates and drops neighbours that left it.
+// setPeers replaces the set of candidates and drops neighbours that left it, or
+// that were chosen before their failure domain was known.
 func (nh *neighbourhood) setPeers(peers []Peer) {
 	nh.peers = peers
 	known := make(map[netip.AddrPort]string, len(peers))
@@ -56,8 +57,8 @@
 	}
 	nh.places = known
 	nh.chosen = slices.DeleteFunc(nh.chosen, func(ne neighbour) bool {
-		_, ok := known[ne.Address]
-		return !ok && ne.chosen
+		domain, ok := known[ne.Address]
+		return ne.chosen && (!ok || domain != ne.Domain)
 	})
 }
 
--- a/internal/coordination/delivery/table.go
+++ b/internal/coordination/delivery/table.go
@@ -89,7 +89,7 @@
 func (ta *Table) Put(it Item, now time.Time) bool {
 	id := it.Identity()
 	if old, ok := ta.entries[id]; ok {
-		if !it.Revision.Supersedes(old.item.Revision) {
+		if !it.Supersedes(old.item.Revision) {
 			return false
 		}
 		ta.remove(old)
--- a/internal/coordination/membership/run.go
+++ b/internal/coordination/membership/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/coordination/delivery"
@@ -94,7 +95,7 @@
 		return
 	}
 	me, ok := no.roster.Member(su)
-	if !ok || me.Removal.Revision.Incarnation == 0 || me.Supersedes(me.Removal.Revision) {
+	if !ok || me.Removal.Incarnation == 0 || me.Supersedes(me.Removal.Revision) {
 		return
 	}
 	deadline := me.RemovedAt.Add(roster.TombstoneSeconds * time.Second)
@@ -162,7 +163,7 @@
 }
 
 // refresh takes over the balancers of the view as peers and as candidates for
-// watchers; the seeds stand in while none is known.
+// watchers.
 func (no *Node) refresh(acts []Action, now time.Time) []Action {
 	no.seenBalancers = no.roster.BalancerChanges()
 	peers := no.others(now)
@@ -175,8 +176,8 @@
 	return no.runRoster(acts, todo, now)
 }
 
-// others returns the other balancers of the view, or the seeds if none is
-// known.
+// others returns the other balancers of the view. While they are fewer than
+// the watchers that a node wants, the seeds stand in.
 func (no *Node) others(now time.Time) []delivery.Peer {
 	var peers []delivery.Peer
 	for _, pe := range no.roster.Peers(now) {
@@ -184,11 +185,16 @@
 			peers = append(peers, pe)
 		}
 	}
-	if len(peers) > 0 {
+	if len(peers) >= roster.WatcherCount {
 		return peers
 	}
 	for _, seed := range no.seeds {
-		peers = append(peers, delivery.Peer{Address: seed, Domain: no.self.Domain})
+		known := slices.ContainsFunc(peers, func(pe delivery.Peer) bool {
+			return pe.Address == seed
+		})
+		if !known && !no.roster.Absent(seed, now) {
+			peers = append(peers, delivery.Peer{Address: seed})
+		}
 	}
 	return peers
 }
--- a/internal/coordination/roster/message.go
+++ b/internal/coordination/roster/message.go
@@ -79,32 +79,43 @@
 
 // Bounds of encoded sizes in bytes.
 const (
-	subjectSize  = 23
 	revisionSize = 18
-	addressSize  = 19
+	scopeSize    = 5
+	beatSize     = 9
 	ageSize      = 9
-	messageSize  = 6
+	messageSize  = 5
 )
 
 // Size bounds the encoded size of the message in bytes.
 func (msg Message) Size() int {
-	size := messageSize + subjectSize
 	switch {
 	case msg.Heartbeat != nil:
-		size += revisionSize + 16 + listSize(msg.Heartbeat.Watchers)
-	case msg.Suspicion != nil, msg.Removed != nil:
-		size += revisionSize
+		he := msg.Heartbeat
+		return messageSize + he.Subject.size() + revisionSize + scopeSize + beatSize + listSize(he.Watchers)
+	case msg.Confirmation != nil:
+		return messageSize + msg.Confirmation.Subject.size() + 1
+	case msg.Suspicion != nil:
+		return messageSize + msg.Suspicion.Subject.size() + revisionSize
 	case msg.Proof != nil:
-		size += revisionSize + ageSize
+		return messageSize + msg.Proof.Subject.size() + revisionSize + ageSize
 	case msg.Recruit != nil:
-		size += revisionSize + 16 + addressSize + listSize(msg.Recruit.Watchers)
+		re := msg.Recruit
+		return messageSize + re.Subject.size() + revisionSize + scopeSize + beatSize +
+			listSize([]netip.AddrPort{re.Control}) + listSize(re.Watchers)
+	case msg.Removed != nil:
+		return messageSize + msg.Removed.Subject.size() + revisionSize
 	}
-	return size
+	return messageSize
+}
+
+// size bounds the encoded size of the subject in bytes.
+func (su Subject) size() int {
+	return 2 + listSize([]netip.AddrPort{su.Address})
 }
 
 // listSize bounds the encoded size of a list of addresses.
 func listSize(list []netip.AddrPort) int {
-	size := 0
+	size := 1
 	for _, address := range list {
 		size += len(addressBytes(address)) + 1
 	}
--- a/internal/coordination/roster/suspicion.go
+++ b/internal/coordination/roster/suspicion.go
@@ -189,7 +189,7 @@
 func (wa *Watcher) recruit(acts []Action, wt *watch, now time.Time) []Action {
 	var kept []netip.AddrPort
 	for _, watcher := range wt.watchers {
-		if !wa.roster.absent(watcher, now) {
+		if !wa.roster.Absent(watcher, now) {
 			kept = append(kept, watcher)
 		}
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -42,9 +42,50 @@
 	// TransferBytes is what the node sent as a donor.
 	TransferBytes int
 
+	// SentBytes is what the node sent without transfers, framing included;
+	// Most is the largest part of it within one second.
+	SentBytes int
+	Most      int
+
 	crashed bool
 	paused  bool
+	left    bool
 	missed  []*delivered
+	// sends are the sends of the last second.
+	sends    []sent
+	seenGone map[roster.Subject]uint64
+}
+
+// sent is the size of one message and when it was sent.
+type sent struct {
+	at    time.Time
+	bytes int
+}
+
+// account books the bytes of a message to the transfers or to the budget.
+func (nd *Node) account(msg membership.Message, now time.Time) {
+	switch {
+	case msg.Transfer != nil:
+		nd.TransferBytes += msg.Transfer.Size() + delivery.FrameOverheadBytes
+	case msg.Gossip != nil:
+		nd.charge(msg.Gossip.Size()+delivery.FrameOverheadBytes, now)
+	case msg.Roster != nil:
+		nd.charge(msg.Roster.Size()+delivery.FrameOverheadBytes, now)
+	}
+}
+
+// charge books the bytes of a message.
+func (nd *Node) charge(bytes int, now time.Time) {
+	nd.SentBytes += bytes
+	nd.sends = append(nd.sends, sent{at: now, bytes: bytes})
+	recent := 0
+	for len(nd.sends) > 0 && now.Sub(nd.sends[0].at) >= time.Second {
+		nd.sends = nd.sends[1:]
+	}
+	for _, se := range nd.sends {
+		recent += se.bytes
+	}
+	nd.Most = max(nd.Most, recent)
 }
 
 // Subject returns the name of the node's record.
@@ -140,6 +181,8 @@
 		Control: netip.AddrPortFrom(ip, 7443),
 		Domain:  fmt.Sprintf("region-%d/domain-%d", number%fl.options.Domains/3, number%fl.options.Domains),
 		Role:    role,
+
+		seenGone: make(map[roster.Subject]uint64),
 	}
 	fl.nodes[nd.Control] = nd
 	return nd
@@ -251,9 +294,7 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case membership.Send:
-			if act.Message.Transfer != nil {
-				nd.TransferBytes += act.Message.Transfer.Size()
-			}
+			nd.account(act.Message, fl.Now)
 			if to := fl.nodes[act.To]; to != nil && !fl.muted {
 				fl.send(nd, to, act.Message, fl.Now)
 			}
