--- /dev/null
+++ b/internal/coordination/change/change_test.go
@@ -0,0 +1,213 @@
+package change_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"corneltiller.dev/corneltiller/internal/coordination/change"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+		if fl := flag.Lookup(name); fl != nil && fl.Value.String() == fl.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// marker returns an edit that adds a service of its own.
+func marker(number int) change.Edit {
+	name := fmt.Sprintf("service-%d", number)
+	return change.Edit{Summary: name, Apply: func(co *catalog.Configuration) error {
+		co.Services = append(co.Services, catalog.Service{
+			ID:        co.NextService,
+			Name:      name,
+			Addresses: []netip.AddrPort{netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 443)},
+			Hosts:     []netip.Prefix{netip.MustParsePrefix("10.9.0.0/16")},
+		})
+		co.NextService++
+		return nil
+	}}
+}
+
+// attempt is one change as its operator saw it.
+type attempt struct {
+	number  int
+	owner   string
+	called  time.Time
+	ended   time.Time
+	outcome change.Outcome
+}
+
+// race lets operators change the configuration around the end of the month
+// while calls get lost and processes are paused.
+func race(t *rapid.T) (*world, []*attempt) {
+	wo := newWorld(rapid.Uint64().Draw(t, "seed"), monthEnd.Add(-2*time.Minute))
+	wo.lossPercent = rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "loss")
+	wo.stragglePercent = rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "straggle")
+	pausePercent := rapid.SampledFrom([]int{0, 2, 10}).Draw(t, "pause")
+	wo.downFrom = wo.now.Add(time.Duration(rapid.IntRange(10, 200).Draw(t, "down")) * time.Second)
+	wo.downUntil = wo.downFrom.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 10, 60}).Draw(t, "outage")) * time.Second)
+	owners := []owner{newOwner("glenrug"), newOwner("zhuldyz")}
+	wo.setup(owners...)
+	wo.check = func() {
+		if _, err := wo.snapshot(); err != nil {
+			t.Fatalf("at %s: %v", wo.now, err)
+		}
+	}
+	var attempts []*attempt
+	for operator := range 4 {
+		ow := owners[operator%2]
+		for range rapid.IntRange(2, 6).Draw(t, "changes") {
+			at := &attempt{number: len(attempts), owner: ow.name}
+			attempts = append(attempts, at)
+			begin := wo.now.Add(time.Duration(wo.random.IntN(240_000)) * time.Millisecond)
+			wo.at(begin, func() { wo.attempt(at, ow, pausePercent) })
+		}
+	}
+	for range 6 {
+		wo.at(wo.now.Add(time.Duration(wo.random.IntN(240))*time.Second), func() {
+			deadline := wo.now.Add(20 * time.Second)
+			wo.process(change.NewCollection(), func() time.Time { return deadline }, pausePercent, func() {})
+		})
+	}
+	wo.run()
+	return wo, attempts
+}
+
+func (wo *world) attempt(at *attempt, ow owner, pausePercent int) {
+	at.called = wo.now
+	co := change.New(change.Request{
+		Owner:    ow.name,
+		Sign:     ow.sign,
+		Edits:    []change.Edit{marker(at.number)},
+		Deadline: wo.now.Add(15 * time.Second),
+	}, wo.random)
+	wo.process(co, co.Deadline, pausePercent, func() {
+		at.ended = wo.now
+		at.outcome = co.Outcome()
+	})
+}
+
+func TestOutcomesAreTrue(t *testing.T) {
+	kinds := make(map[change.OutcomeKind]int)
+	rapid.Check(t, func(t *rapid.T) {
+		wo, attempts := race(t)
+		history := wo.history()
+		applied := make(map[string]int)
+		for _, en := range history {
+			applied[en.Summary]++
+		}
+		sn, err := wo.snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		final, err := sn.Configuration()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, at := range attempts {
+			kinds[at.outcome.Kind]++
+			name := marker(at.number).Summary
+			times := applied[name]
+			inForce := final.Service(name) != nil
+			switch {
+			case times > 1:
+				t.Fatalf("change %s applied %d times", name, times)
+			case (times == 1) != inForce:
+				t.Fatalf("change %s in history %d times, in force %t", name, times, inForce)
+			case at.outcome.Kind == change.OutcomeAccepted && times != 1:
+				t.Fatalf("accepted change %s is not in force", name)
+			case at.outcome.Kind == change.OutcomeRefused && times != 0:
+				t.Fatalf("refused change %s took effect: %s", name, at.outcome.Reason)
+			case at.outcome.Kind == 0:
+				t.Fatalf("change %s has no outcome", name)
+			}
+		}
+		checkSay(t, history)
+	})
+	if kinds[change.OutcomeAccepted] == 0 || kinds[change.OutcomeRefused] == 0 || kinds[change.OutcomeUnknown] == 0 {
+		t.Fatalf("the runs reached too little: %v", kinds)
+	}
+	t.Logf("outcomes: %v", kinds)
+}
+
+// checkSay checks that each change was made by the holder of its time.
+func checkSay(t *rapid.T, history []change.Entry) {
+	for i, en := range history[1:] {
+		before := history[i]
+		if en.Version.Number != before.Version.Number+1 || en.Version.Term < before.Version.Term {
+			t.Fatalf("version %s follows %s", en.Version, before.Version)
+		}
+		if en.Owner == "glenrug" && before.Say.Owner == "zhuldyz" {
+			t.Fatalf("change %s by an owner who lost the say", en.Identity)
+		}
+		if en.Owner == "zhuldyz" && en.At.Before(monthEnd) {
+			t.Fatalf("change %s by an owner who had not got the say", en.Identity)
+		}
+	}
+}
+
+// result is what one change returned, for the linearizability checker.
+type result struct {
+	kind   change.OutcomeKind
+	number uint64
+}
+
+// versions is the sequential model: each accepted change raises the number by
+// one, a refused one leaves it, an unknown one may do either.
+var versions = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(1)} },
+	Step: func(state, _, output any) []any {
+		number, _ := state.(uint64)
+		re, _ := output.(result)
+		switch {
+		case re.kind == change.OutcomeRefused:
+			return []any{number}
+		case re.kind == change.OutcomeUnknown:
+			return []any{number, number + 1}
+		case re.number == number+1:
+			return []any{number + 1}
+		default:
+			return nil
+		}
+	},
+}
+
+func TestHistoryIsLinearizable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, attempts := race(t)
+		var operations []porcupine.Operation
+		last := attempts[0].called
+		for _, at := range attempts {
+			if at.ended.After(last) {
+				last = at.ended
+			}
+		}
+		for i, at := range attempts {
+			ended := at.ended
+			if at.outcome.Kind == change.OutcomeUnknown {
+				ended = last.Add(time.Hour)
+			}
+			operations = append(operations, porcupine.Operation{
+				ClientId: i,
+				Call:     at.called.UnixNano(),
+				Output:   result{kind: at.outcome.Kind, number: at.outcome.Version.Number},
+				Return:   ended.UnixNano(),
+			})
+		}
+		if !porcupine.CheckOperations(versions.ToModel(), operations) {
+			t.Fatalf("the history of %d changes is not linearizable", len(operations))
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/change/commit.go
@@ -0,0 +1,457 @@
+package change
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// MaxAttempts bounds how often a change is made again from a newer root after
+// another change came first.
+const MaxAttempts = 16
+
+// Edit is one step of a change.
+type Edit struct {
+	// Summary is the step as the operator wrote it.
+	Summary string
+	// Apply edits the configuration or says why it can't.
+	Apply func(*catalog.Configuration) error
+}
+
+// Request is a change that an owner asks for.
+type Request struct {
+	Owner string
+	// Sign returns the owner's Ed25519 signature.
+	Sign func(message []byte) []byte
+	// Edits are applied together or not at all.
+	Edits []Edit
+	// Initial allows the first change of an empty store.
+	Initial bool
+	// DryRun stops before anything is written.
+	DryRun bool
+	// Everywhere is the newest version that every live instance is known to
+	// have in force; zero if that is not known.
+	Everywhere catalog.Version
+	// InForce is the newest version that any instance was seen to have.
+	InForce catalog.Version
+	// Hosts are the live hosts, for finding services that would be stranded.
+	Hosts []register.Host
+	// Deadline is when the change is given up.
+	Deadline time.Time
+}
+
+// OutcomeKind is how a change ended.
+type OutcomeKind uint8
+
+// The kinds of outcomes.
+const (
+	// OutcomeAccepted says that the change is in the store and will be in
+	// force everywhere.
+	OutcomeAccepted OutcomeKind = iota + 1
+	// OutcomeRefused says that the change did not and will not take effect.
+	OutcomeRefused
+	// OutcomeUnknown says that the store could not be asked what became of it.
+	OutcomeUnknown
+)
+
+// String returns the kind as operators read it.
+func (ou OutcomeKind) String() string {
+	switch ou {
+	case OutcomeAccepted:
+		return "accepted"
+	case OutcomeRefused:
+		return "refused"
+	case OutcomeUnknown:
+		return "unknown"
+	default:
+		return "open"
+	}
+}
+
+// Outcome is what the operator is told.
+type Outcome struct {
+	Kind     OutcomeKind
+	Identity Identity
+	// Version is the accepted version, or that of the root that was read.
+	Version catalog.Version
+	// Reason says why the change was refused or is unknown.
+	Reason string
+	// Holder and Until say who has the say, if that was read.
+	Holder string
+	Until  time.Time
+	// Difference is what the change alters, one line each.
+	Difference []string
+	DryRun     bool
+	// Root is the root after an accepted change.
+	Root *Root
+	// Snapshot is the accepted configuration with its shards.
+	Snapshot *Snapshot
+}
+
+// step is where a commit stands.
+type step uint8
+
+const (
+	stepRoot step = iota
+	stepShards
+	stepWriteShards
+	stepWriteRoot
+	stepSettle
+	stepPage
+	stepFence
+	stepDone
+)
+
+// Commit is the decision core of one change.
+type Commit struct {
+	request Request
+	random  *rand.Rand
+	step    step
+	// calls numbers the calls; waiting counts those without an answer. Answers
+	// to calls up to the number in stale belong to an attempt given up.
+	calls    uint64
+	stale    uint64
+	waiting  int
+	attempts int
+
+	// stored is the store's version of the root that the attempt started from.
+	stored   uint64
+	before   *Root
+	snapshot *Snapshot
+	after    *Root
+	values   []Value
+	identity Identity
+	outcome  Outcome
+	now      time.Time
+}
+
+// New returns the core for the request. The random numbers go into identities.
+func New(rq Request, random *rand.Rand) *Commit {
+	return &Commit{request: rq, random: random, snapshot: &Snapshot{}}
+}
+
+// Done reports whether the outcome stands.
+func (co *Commit) Done() bool {
+	return co.step == stepDone
+}
+
+// Outcome returns the outcome once Done reports true.
+func (co *Commit) Outcome() Outcome {
+	return co.outcome
+}
+
+// settleTime is how long a write without an answer is asked after beyond the
+// deadline of the change.
+const settleTime = 10 * time.Second
+
+// Deadline returns when the calls that were just returned are to be given up.
+func (co *Commit) Deadline() time.Time {
+	if co.step >= stepSettle {
+		return co.request.Deadline.Add(settleTime)
+	}
+	return co.request.Deadline
+}
+
+// Start returns the first calls.
+func (co *Commit) Start(now time.Time) []archive.Call {
+	co.now = now
+	return co.begin()
+}
+
+// begin reads the root for a new attempt.
+func (co *Commit) begin() []archive.Call {
+	co.step = stepRoot
+	co.attempts++
+	co.stale = co.calls
+	co.waiting = 0
+	return []archive.Call{co.read(RootName)}
+}
+
+func (co *Commit) read(name string) archive.Call {
+	return co.call(archive.KindGet, archive.Object{Name: name})
+}
+
+func (co *Commit) call(kind archive.Kind, ob archive.Object) archive.Call {
+	co.calls++
+	co.waiting++
+	return archive.Call{ID: co.calls, Kind: kind, Object: ob}
+}
+
+// Handle takes the answer to one call and returns the next calls.
+func (co *Commit) Handle(now time.Time, an archive.Answer) []archive.Call {
+	if an.ID <= co.stale {
+		return nil
+	}
+	co.now = now
+	co.waiting--
+	switch co.step {
+	case stepRoot:
+		return co.rootRead(an)
+	case stepShards:
+		return co.shardRead(an)
+	case stepWriteShards:
+		return co.shardWritten(an)
+	case stepWriteRoot:
+		return co.rootWritten(an)
+	case stepSettle:
+		return co.settleRead(an)
+	case stepPage:
+		return co.pageRead(an)
+	case stepFence:
+		return co.fenceWritten(an)
+	default:
+		return nil
+	}
+}
+
+func (co *Commit) finish(kind OutcomeKind, reason string) []archive.Call {
+	co.step = stepDone
+	co.outcome.Kind = kind
+	co.outcome.Reason = reason
+	co.outcome.Identity = co.identity
+	co.outcome.DryRun = co.request.DryRun
+	return nil
+}
+
+func (co *Commit) refuse(format string, args ...any) []archive.Call {
+	return co.finish(OutcomeRefused, fmt.Sprintf(format, args...))
+}
+
+// unreadable refuses a change before anything that matters was written.
+func (co *Commit) unreadable(an archive.Answer, what string) []archive.Call {
+	if an.Result == archive.ResultNotFound {
+		return co.refuse("%s is missing in the store", what)
+	}
+	return co.refuse("the store can't be reached; nothing was changed")
+}
+
+func (co *Commit) rootRead(an archive.Answer) []archive.Call {
+	switch {
+	case an.Result == archive.ResultNotFound && co.request.InForce != catalog.Version{}:
+		return co.refuse("the store has lost the configuration: version %s is in force; REINSTATE it", co.request.InForce)
+	case an.Result == archive.ResultNotFound && co.request.Initial:
+		co.before, co.stored = &Root{}, 0
+		return co.evaluate(an.Object.Asked)
+	case an.Result == archive.ResultNotFound:
+		return co.refuse("the store holds no configuration; INITIALIZE it")
+	case an.Result != archive.ResultDone:
+		return co.unreadable(an, "the root")
+	}
+	ro, err := DecodeRoot(an.Object.Value)
+	if err != nil {
+		return co.refuse("%v", err)
+	}
+	co.before, co.stored = ro, an.Object.Version
+	co.snapshot.Root = ro
+	co.outcome.Holder, co.outcome.Until = ro.Say.Owner, ro.Say.Until
+	co.outcome.Version = ro.Version
+	if co.request.Initial {
+		return co.refuse("the store already holds version %s", ro.Version)
+	}
+	if ro.Version.Less(co.request.InForce) {
+		return co.refuse("the store went back to version %s, but %s is in force; REINSTATE it", ro.Version, co.request.InForce)
+	}
+	if err := ro.Verify(nil, nil); err != nil {
+		return co.refuse("the root is not to be trusted: %v", err)
+	}
+	return co.readShards(an.Object.Asked)
+}
+
+// readShards reads the shards that no earlier attempt has read.
+func (co *Commit) readShards(asked time.Time) []archive.Call {
+	co.step = stepShards
+	if !asked.IsZero() {
+		co.now = asked
+	}
+	co.outcome.Root = co.before
+	missing := co.snapshot.Missing()
+	if len(missing) == 0 {
+		return co.evaluate(asked)
+	}
+	var calls []archive.Call
+	for _, sh := range missing {
+		calls = append(calls, co.read(sh.Name))
+	}
+	return calls
+}
+
+func (co *Commit) shardRead(an archive.Answer) []archive.Call {
+	switch {
+	case an.Result == archive.ResultNotFound && co.attempts < MaxAttempts:
+		// A collection may have removed it after a newer root was written.
+		return co.begin()
+	case an.Result != archive.ResultDone:
+		return co.unreadable(an, "shard "+an.Object.Name)
+	}
+	co.snapshot.Values = append(co.snapshot.Values, Value{Name: an.Object.Name, Bytes: an.Object.Value})
+	if co.waiting > 0 {
+		return nil
+	}
+	return co.evaluate(an.Object.Asked)
+}
+
+// evaluate makes the change from the root that was read.
+func (co *Commit) evaluate(asked time.Time) []archive.Call {
+	if asked.IsZero() {
+		asked = co.now
+	}
+	before := &catalog.Configuration{NextService: 1}
+	if co.snapshot.Root != nil {
+		decoded, err := co.snapshot.Configuration()
+		if err != nil {
+			return co.refuse("%v", err)
+		}
+		before = decoded
+	}
+	after, err := co.edited(before, asked)
+	if err != nil {
+		return co.refuse("%v", err)
+	}
+	co.outcome.Difference = catalog.Difference(before, after)
+	if err := co.prepare(before, after, asked); err != nil {
+		return co.refuse("%v", err)
+	}
+	if co.request.DryRun {
+		co.outcome.Version = after.Version
+		return co.finish(OutcomeAccepted, "dry run: nothing was written")
+	}
+	return co.writeShards()
+}
+
+// ErrNoSay says that the owner may not change the configuration now.
+var ErrNoSay = errors.New("the say is another's")
+
+// edited returns the configuration after the edits, checked.
+func (co *Commit) edited(before *catalog.Configuration, asked time.Time) (*catalog.Configuration, error) {
+	after := before.Clone()
+	after.Version.Number++
+	if err := co.authorize(before, after, asked); err != nil {
+		return nil, err
+	}
+	for _, ed := range co.request.Edits {
+		if err := ed.Apply(after); err != nil {
+			return nil, errors.Wrap(err, ed.Summary)
+		}
+	}
+	if after.Say.Owner != before.Say.Owner || co.request.Initial {
+		after.Version.Term = before.Version.Term + 1
+		after.Say.Term = after.Version.Term
+		after.Say.Until = after.NextTurn(asked).UTC()
+	}
+	after.Release(co.request.Everywhere)
+	after.Retire(before)
+	after.Release(catalog.Version{})
+	if err := after.CheckMoves(before); err != nil {
+		return nil, err
+	}
+	if err := after.Check(); err != nil {
+		return nil, err
+	}
+	return after, catalog.CheckHosts(before, after, co.request.Hosts)
+}
+
+// authorize lets the holder and, once the holder's turn has ended, the owner
+// whom the calendar names make changes.
+func (co *Commit) authorize(before, after *catalog.Configuration, asked time.Time) error {
+	if co.request.Initial {
+		after.Say.Owner = co.request.Owner
+		return nil
+	}
+	switch before.AuthorityOf(co.request.Owner, asked) {
+	case catalog.AuthorityHolder:
+		if !asked.Before(before.Say.Until) {
+			after.Say.Until = before.NextTurn(asked).UTC()
+		}
+		return nil
+	case catalog.AuthoritySuccessor:
+		after.Say.Owner = co.request.Owner
+		return nil
+	default:
+		return errors.Wrapf(ErrNoSay, "%s holds it until %s", before.Say.Owner, before.Say.Until.Format(time.RFC3339))
+	}
+}
+
+// prepare builds and signs the new root.
+func (co *Commit) prepare(before, after *catalog.Configuration, asked time.Time) error {
+	co.identity = co.newIdentity(before.Version)
+	content, values, err := build(co.before, after, co.identity)
+	if err != nil {
+		return err
+	}
+	ro := co.before.clone()
+	ro.Content = content
+	en := Entry{
+		Identity: co.identity,
+		Version:  after.Version,
+		Base:     before.Version,
+		Owner:    co.request.Owner,
+		At:       asked.UTC(),
+		Summary:  summarize(co.request.Edits),
+		Say:      after.Say,
+		Content:  content.Digest(),
+	}
+	if last, ok := co.before.Last(); ok {
+		en.Previous = last.Digest()
+	}
+	if !sameOwners(before.Owners, after.Owners) {
+		en.Owners = after.Owners
+	}
+	en.Signature = co.request.Sign(en.Message())
+	signers := before.Owners
+	if co.request.Initial {
+		signers = after.Owners
+	}
+	if err := verifyEntry(en, signers); err != nil {
+		return err
+	}
+	values = append(values, ro.extend(en)...)
+	co.after, co.values = ro, values
+	return nil
+}
+
+func (co *Commit) newIdentity(base catalog.Version) Identity {
+	return Identity(fmt.Sprintf("%s-%016x", base, co.random.Uint64()))
+}
+
+func sameOwners(before, after []catalog.Owner) bool {
+	if len(before) != len(after) {
+		return false
+	}
+	for i := range before {
+		if !before[i].Equal(after[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxSummaryBytes bounds what the history keeps of the operator's words.
+const maxSummaryBytes = 200
+
+func summarize(edits []Edit) string {
+	text := ""
+	for i, ed := range edits {
+		if i > 0 {
+			text += "; "
+		}
+		text += ed.Summary
+	}
+	if len(text) > maxSummaryBytes {
+		text = text[:maxSummaryBytes-3] + "..."
+	}
+	return strings.ToValidUTF8(text, "?")
+}
+
+// PublicKey returns the public half of an owner's private key.
+func PublicKey(key ed25519.PrivateKey) []byte {
+	public, _ := key.Public().(ed25519.PublicKey)
+	return public
+}
--- /dev/null
+++ b/internal/coordination/change/settle.go
@@ -0,0 +1,206 @@
+package change
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+func (co *Commit) writeShards() []archive.Call {
+	if len(co.values) == 0 {
+		return co.writeRoot()
+	}
+	co.step = stepWriteShards
+	var calls []archive.Call
+	for _, va := range co.values {
+		calls = append(calls, co.call(archive.KindPut, archive.Object{Name: va.Name, Value: va.Bytes}))
+	}
+	return calls
+}
+
+// shardWritten waits for every shard. A shard whose answer was lost is refused
+// with the whole change: its name is never used again, so it can do no harm.
+func (co *Commit) shardWritten(an archive.Answer) []archive.Call {
+	if an.Result != archive.ResultDone {
+		return co.refuse("the store did not take shard %s; nothing was changed", an.Object.Name)
+	}
+	if co.waiting > 0 {
+		return nil
+	}
+	return co.writeRoot()
+}
+
+func (co *Commit) writeRoot() []archive.Call {
+	co.step = stepWriteRoot
+	ob := archive.Object{Name: RootName, Version: co.stored, Value: co.after.Encode()}
+	return []archive.Call{co.call(archive.KindPut, ob)}
+}
+
+func (co *Commit) rootWritten(an archive.Answer) []archive.Call {
+	switch an.Result {
+	case archive.ResultDone:
+		return co.accept()
+	case archive.ResultConflict:
+		return co.again()
+	case archive.ResultUnanswered:
+		return co.settle()
+	case archive.ResultRefused:
+		return co.refuse("the store refused the change; nothing was changed")
+	default:
+		return co.refuse("the store did not take the root; nothing was changed")
+	}
+}
+
+func (co *Commit) accept() []archive.Call {
+	co.outcome.Version = co.after.Version
+	co.outcome.Holder, co.outcome.Until = co.after.Say.Owner, co.after.Say.Until
+	co.outcome.Root = co.after
+	co.outcome.Snapshot = co.accepted()
+	return co.finish(OutcomeAccepted, "")
+}
+
+// accepted returns the snapshot of the accepted root.
+func (co *Commit) accepted() *Snapshot {
+	known := Snapshot{Root: co.after, Values: append(slices.Clone(co.snapshot.Values), co.values...)}
+	sn := &Snapshot{Root: co.after}
+	for _, sh := range co.after.Shards {
+		value, ok := known.value(sh.Name)
+		if ok {
+			sn.Values = append(sn.Values, Value{Name: sh.Name, Bytes: value})
+		}
+	}
+	return sn
+}
+
+// again makes the change from the newer root. The attempt that failed its
+// condition can never take effect, and the next one has an identity of its own.
+func (co *Commit) again() []archive.Call {
+	if co.attempts >= MaxAttempts {
+		return co.refuse("other changes came first %d times; nothing was changed", co.attempts)
+	}
+	return co.begin()
+}
+
+// settle reads the root to learn what became of a write without an answer.
+func (co *Commit) settle() []archive.Call {
+	co.step = stepSettle
+	return []archive.Call{co.read(RootName)}
+}
+
+func (co *Commit) unknown() []archive.Call {
+	return co.finish(OutcomeUnknown, "the store's answer was lost and it can't be asked; ask later with SHOW CHANGE "+string(co.identity))
+}
+
+func (co *Commit) settleRead(an archive.Answer) []archive.Call {
+	if an.Result == archive.ResultNotFound && co.stored == 0 {
+		// The first root of all can't be fenced, only waited for.
+		return co.unknown()
+	}
+	if an.Result != archive.ResultDone {
+		return co.unknown()
+	}
+	ro, err := DecodeRoot(an.Object.Value)
+	if err != nil {
+		return co.unknown()
+	}
+	en, _ := co.after.Last()
+	switch ro.FateOf(co.identity, en.Base) {
+	case FateAccepted:
+		return co.accept()
+	case FateNever:
+		return co.again()
+	case FatePending:
+		return co.fence(ro, an.Object.Version)
+	case FateForgotten:
+		return co.readPage(ro, en.Base)
+	default:
+		return co.unknown()
+	}
+}
+
+// fence updates the root without a change, on the condition of the version that
+// was just read: once it succeeds, the write without an answer can't any more.
+func (co *Commit) fence(ro *Root, stored uint64) []archive.Call {
+	if stored != co.stored {
+		return co.again()
+	}
+	co.step = stepFence
+	fenced := fenceRoot(ro, co.identity)
+	ob := archive.Object{Name: RootName, Version: stored, Value: fenced.Encode()}
+	return []archive.Call{co.call(archive.KindPut, ob)}
+}
+
+// fenceRoot returns the root with its fence raised.
+func fenceRoot(ro *Root, identities ...Identity) *Root {
+	fenced := ro.clone()
+	fenced.Fence++
+	fenced.Fenced = append(fenced.Fenced, identities...)
+	if len(fenced.Fenced) > MaxFenced {
+		fenced.Fenced = slices.Clone(fenced.Fenced[len(fenced.Fenced)-MaxFenced:])
+	}
+	return fenced
+}
+
+func (co *Commit) fenceWritten(an archive.Answer) []archive.Call {
+	if an.Result == archive.ResultDone {
+		return co.refuse("the write was lost on its way to the store; nothing was changed")
+	}
+	if an.Result == archive.ResultRefused {
+		return co.unknown()
+	}
+	return co.settle()
+}
+
+func (co *Commit) readPage(ro *Root, base catalog.Version) []archive.Call {
+	pa, ok := ro.page(base)
+	if !ok {
+		return co.unknown()
+	}
+	co.step = stepPage
+	return []archive.Call{co.read(pa.Name)}
+}
+
+func (co *Commit) pageRead(an archive.Answer) []archive.Call {
+	if an.Result != archive.ResultDone {
+		return co.unknown()
+	}
+	history, err := DecodePage(an.Object.Value)
+	if err != nil {
+		return co.unknown()
+	}
+	en, _ := co.after.Last()
+	switch fateIn(history, co.identity, en.Base) {
+	case FateAccepted:
+		return co.accept()
+	case FateNever:
+		return co.again()
+	default:
+		return co.unknown()
+	}
+}
+
+// DecodePage returns the entries of a history page.
+func DecodePage(value []byte) ([]Entry, error) {
+	var history []Entry
+	if err := json.Unmarshal(value, &history); err != nil {
+		return nil, errors.Wrap(err, "decode history page")
+	}
+	return history, nil
+}
+
+// Base returns the version that the attempt was made from, as its identity
+// tells.
+func (id Identity) Base() (catalog.Version, error) {
+	version, _, _ := strings.Cut(string(id), "-")
+	var base catalog.Version
+	if _, err := fmt.Sscanf(version, "%d.%d", &base.Term, &base.Number); err != nil {
+		return base, errors.Wrapf(catalog.ErrInvalid, "change identity %q", string(id))
+	}
+	return base, nil
+}
--- /dev/null
+++ b/internal/coordination/change/snapshot.go
@@ -0,0 +1,179 @@
+package change
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// Rules is the value of the shard of host rules and retirements.
+type Rules struct {
+	Rules   []catalog.HostRule   `json:",omitempty"`
+	Retired []catalog.Retirement `json:",omitempty"`
+}
+
+// Value is one stored shard.
+type Value struct {
+	Name  string
+	Bytes []byte
+}
+
+// Snapshot is a root together with the values of its shards: all that an
+// instance needs to have the version in force, to help others join and to
+// restore a store that went back.
+type Snapshot struct {
+	Root   *Root
+	Values []Value
+}
+
+// value returns the value of the shard.
+func (sn *Snapshot) value(name string) ([]byte, bool) {
+	for _, va := range sn.Values {
+		if va.Name == name {
+			return va.Bytes, true
+		}
+	}
+	return nil, false
+}
+
+// Missing returns the shards whose values the snapshot lacks.
+func (sn *Snapshot) Missing() []Shard {
+	var missing []Shard
+	for _, sh := range sn.Root.Shards {
+		if _, ok := sn.value(sh.Name); !ok {
+			missing = append(missing, sh)
+		}
+	}
+	return missing
+}
+
+// Configuration decodes the snapshot after checking each digest.
+func (sn *Snapshot) Configuration() (*catalog.Configuration, error) {
+	ro := sn.Root
+	co := &catalog.Configuration{
+		Version:     ro.Version,
+		Say:         ro.Say,
+		Owners:      ro.Owners,
+		Calendar:    ro.Calendar,
+		NextService: ro.NextService,
+	}
+	for _, sh := range ro.Shards {
+		value, ok := sn.value(sh.Name)
+		if !ok {
+			return nil, errors.Errorf("shard %s is missing", sh.Name)
+		}
+		if err := sh.checkDigest(value); err != nil {
+			return nil, err
+		}
+		if err := decodeShard(co, sh, value); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(co.Services, func(a, b catalog.Service) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return co, nil
+}
+
+func decodeShard(co *catalog.Configuration, sh Shard, value []byte) error {
+	if sh.Bucket == rulesShard {
+		var ru Rules
+		if err := json.Unmarshal(value, &ru); err != nil {
+			return errors.Wrapf(err, "decode shard %s", sh.Name)
+		}
+		co.Rules, co.Retired = ru.Rules, ru.Retired
+		return nil
+	}
+	var services []catalog.Service
+	if err := json.Unmarshal(value, &services); err != nil {
+		return errors.Wrapf(err, "decode shard %s", sh.Name)
+	}
+	co.Services = append(co.Services, services...)
+	return nil
+}
+
+// bucketOf returns the shard that holds the service.
+func bucketOf(id register.ServiceID) int {
+	return int(id) % ServiceShards
+}
+
+// encodeShards returns the value of each bucket, nil for an empty one.
+func encodeShards(co *catalog.Configuration) [rulesShard + 1][]byte {
+	var values [rulesShard + 1][]byte
+	var buckets [ServiceShards][]catalog.Service
+	for _, sv := range co.Services {
+		bu := bucketOf(sv.ID)
+		buckets[bu] = append(buckets[bu], sv)
+	}
+	for bu, services := range buckets {
+		if len(services) > 0 {
+			values[bu] = encode(services)
+		}
+	}
+	if len(co.Rules) > 0 || len(co.Retired) > 0 {
+		values[rulesShard] = encode(Rules{Rules: co.Rules, Retired: co.Retired})
+	}
+	return values
+}
+
+// build returns the root's content for the configuration. Shards that did not
+// change keep their references; the others get names under the identity.
+func build(before *Root, after *catalog.Configuration, identity Identity) (Content, []Value, error) {
+	content := Content{
+		Version:     after.Version,
+		Say:         after.Say,
+		Owners:      after.Owners,
+		Calendar:    after.Calendar,
+		NextService: after.NextService,
+	}
+	var written []Value
+	for bu, value := range encodeShards(after) {
+		if value == nil {
+			continue
+		}
+		if len(value) > MaxShardBytes {
+			return content, nil, errors.Wrapf(catalog.ErrLimit, "shard %d of %d bytes, at most %d", bu, len(value), MaxShardBytes)
+		}
+		digest := sum(value)
+		sh, known := before.Shard(bu)
+		if !known || !bytes.Equal(sh.Digest, digest) {
+			sh = Shard{Bucket: bu, Name: shardName(bu, identity), Digest: digest, Size: len(value)}
+			written = append(written, Value{Name: sh.Name, Bytes: value})
+		}
+		content.Shards = append(content.Shards, sh)
+	}
+	return content, written, nil
+}
+
+func shardName(bucket int, identity Identity) string {
+	return fmt.Sprintf("%s%d-%s", ShardPrefix, bucket, identity)
+}
+
+// extend appends the entry to the history. It moves the older half to a page
+// once the history is full; the page's value is returned to be written.
+func (ro *Root) extend(en Entry) []Value {
+	ro.History = append(ro.History, en)
+	if len(ro.History) <= MaxHistory {
+		return nil
+	}
+	old := ro.History[:MaxHistory/2]
+	ro.History = slices.Clone(ro.History[MaxHistory/2:])
+	value := encode(old)
+	pa := Page{
+		Shard: Shard{Name: ShardPrefix + "history-" + string(en.Identity), Digest: sum(value), Size: len(value)},
+		From:  old[0].Version,
+		To:    old[len(old)-1].Version,
+	}
+	ro.Pages = append(ro.Pages, pa)
+	if len(ro.Pages) > MaxPages {
+		ro.Pages = slices.Clone(ro.Pages[len(ro.Pages)-MaxPages:])
+	}
+	return []Value{{Name: pa.Name, Bytes: value}}
+}
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -1,14 +1,24 @@
 // Package catalog holds the accepted configuration: the services, their
 // addresses, the backend servers that may serve them, the traffic classes and
-// the owner who has the final say.
+// the owner who has the final say. It checks a configuration before it is
+// accepted and describes the difference of two.
 //
 // # Usage
 //
 //	sv, ok := cfg.ServiceAt(address)
+//	after := cfg.Clone()
+//	after.Services[0].Classes = classes
+//	if err := after.Check(); err != nil {
+//		return err
+//	}
+//	lines := catalog.Difference(cfg, after)
 package catalog
 
 import (
+	"cmp"
+	"fmt"
 	"net/netip"
+	"slices"
 
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -22,10 +32,36 @@
 
 // Less reports whether ve is strictly older than other.
 func (ve Version) Less(other Version) bool {
+	return ve.Compare(other) < 0
+}
+
+// Compare returns -1, 0 or +1 as ve is older than, equal to or newer than other.
+func (ve Version) Compare(other Version) int {
 	if ve.Term != other.Term {
-		return ve.Term < other.Term
+		return cmp.Compare(ve.Term, other.Term)
 	}
-	return ve.Number < other.Number
+	return cmp.Compare(ve.Number, other.Number)
+}
+
+// String returns the version as operators read it: term, dot, number.
+func (ve Version) String() string {
+	return fmt.Sprintf("%d.%d", ve.Term, ve.Number)
+}
+
+// Class is one traffic class of a service.
+type Class struct {
+	Name string
+	// Urgent traffic is answered first; other traffic is deferrable and shed
+	// first.
+	Urgent bool
+	// Paths are the request path prefixes that belong to the class. A class
+	// without any takes what no other class of the service takes.
+	Paths []string `json:",omitempty"`
+	// Limit is the number of requests that one host may have in progress or
+	// queued for the class; zero sets none.
+	Limit uint32 `json:",omitempty"`
+	// Weight is the class's share among the classes of the same urgency.
+	Weight uint16
 }
 
 // Service is one service of a tenant firm.
@@ -37,13 +73,53 @@
 	// Addresses are where callers reach the service.
 	Addresses []netip.AddrPort
 	// Hosts are the address ranges whose hosts may serve the service.
-	Hosts []netip.Prefix
+	Hosts   []netip.Prefix
+	Classes []Class `json:",omitempty"`
+}
+
+// MayServe reports whether a host at the address may serve the service.
+func (sv *Service) MayServe(host netip.Addr) bool {
+	for _, ra := range sv.Hosts {
+		if ra.Contains(host) {
+			return true
+		}
+	}
+	return false
+}
+
+// HostRule is what the operators ask of the hosts in a range, beyond what the
+// hosts announce about themselves.
+type HostRule struct {
+	Hosts netip.Prefix
+	// Draining takes the hosts out of new work.
+	Draining bool `json:",omitempty"`
+	// Weight scales the announced weight in percent; register.FullWeight
+	// leaves it unchanged.
+	Weight uint16
+}
+
+// Retirement is an address that a service gave up. Another service may take it
+// once every live instance has the version, or a newer one, in force.
+type Retirement struct {
+	Address netip.AddrPort
+	// Service is the last service that owned the address.
+	Service register.ServiceID
+	// Since is the version that removed the address.
+	Since Version
 }
 
 // Configuration is one accepted, immutable version.
 type Configuration struct {
 	Version  Version
 	Services []Service
+	Rules    []HostRule   `json:",omitempty"`
+	Retired  []Retirement `json:",omitempty"`
+	Say      Say
+	Owners   []Owner
+	// Calendar says who is to hold the say from when on, by time.
+	Calendar []Turn `json:",omitempty"`
+	// NextService is the lowest service number never given out.
+	NextService register.ServiceID
 }
 
 // ServiceAt returns the service that owns the address.
@@ -57,3 +133,63 @@
 	}
 	return Service{}, false
 }
+
+// Service returns the service of that name for reading and editing, nil if
+// there is none.
+func (co *Configuration) Service(name string) *Service {
+	for i := range co.Services {
+		if co.Services[i].Name == name {
+			return &co.Services[i]
+		}
+	}
+	return nil
+}
+
+// ServiceByID returns the service with the number.
+func (co *Configuration) ServiceByID(id register.ServiceID) (Service, bool) {
+	at, found := slices.BinarySearchFunc(co.Services, id, func(sv Service, id register.ServiceID) int {
+		return cmp.Compare(sv.ID, id)
+	})
+	if !found {
+		return Service{}, false
+	}
+	return co.Services[at], true
+}
+
+// Rule returns what the operators ask of the host: the rule of the longest
+// range that contains it.
+func (co *Configuration) Rule(host netip.Addr) HostRule {
+	found := HostRule{Weight: register.FullWeight}
+	length := -1
+	for _, ru := range co.Rules {
+		if ru.Hosts.Contains(host) && ru.Hosts.Bits() > length {
+			found = ru
+			length = ru.Hosts.Bits()
+		}
+	}
+	return found
+}
+
+// Clone returns a deep copy that may be edited.
+func (co *Configuration) Clone() *Configuration {
+	copied := *co
+	copied.Services = slices.Clone(co.Services)
+	for i := range copied.Services {
+		copied.Services[i] = copied.Services[i].clone()
+	}
+	copied.Rules = slices.Clone(co.Rules)
+	copied.Retired = slices.Clone(co.Retired)
+	copied.Owners = slices.Clone(co.Owners)
+	copied.Calendar = slices.Clone(co.Calendar)
+	return &copied
+}
+
+func (sv Service) clone() Service {
+	sv.Addresses = slices.Clone(sv.Addresses)
+	sv.Hosts = slices.Clone(sv.Hosts)
+	sv.Classes = slices.Clone(sv.Classes)
+	for i := range sv.Classes {
+		sv.Classes[i].Paths = slices.Clone(sv.Classes[i].Paths)
+	}
+	return sv
+}
