--- a/internal/coordination/archive/archive.go
+++ b/internal/coordination/archive/archive.go
@@ -352,3 +352,13 @@
 	}
 	return at
 }
+
+// InstancePolicy is the policy of a balancer or agent, of which there are many.
+var InstancePolicy = Policy{
+	AttemptTimeout: 2 * time.Second,
+	BackoffMin:     200 * time.Millisecond,
+	BackoffMax:     30 * time.Second,
+	CallsPerSecond: 2,
+	Burst:          100,
+	Failures:       3,
+}
--- a/internal/coordination/change/snapshot.go
+++ b/internal/coordination/change/snapshot.go
@@ -177,3 +177,8 @@
 	}
 	return []Value{{Name: pa.Name, Bytes: value}}
 }
+
+// Trim drops the values that the root does not refer to.
+func (sn *Snapshot) Trim() {
+	sn.Values = slices.DeleteFunc(sn.Values, func(va Value) bool { return !sn.Root.refers(va.Name) })
+}
--- a/internal/coordination/change/state.go
+++ b/internal/coordination/change/state.go
@@ -161,7 +161,7 @@
 		}
 		sn.Values = append(sn.Values, Value{Name: sh.Name, Bytes: value})
 	}
-	sn.Values = slices.DeleteFunc(sn.Values, func(va Value) bool { return !ro.refers(va.Name) })
+	sn.Trim()
 	return &State{Snapshot: sn, Configuration: decoded}, nil
 }
 
--- /dev/null
+++ b/internal/coordination/rollout/reader.go
@@ -0,0 +1,498 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/coordination/change"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// head is the body of a watcher's announcement.
+type head struct {
+	Version catalog.Version
+}
+
+// The prefixes of the keys that gossip carries for the rollout.
+const (
+	// KeyDelta begins the keys of deltas.
+	KeyDelta = "change/"
+	// KeyHead begins the keys of announcements.
+	KeyHead = "head/"
+	// KeySum begins the keys of published sums.
+	KeySum = "sum/"
+)
+
+// Reader is the decision core of one instance.
+type Reader struct {
+	self    Member
+	anchors []catalog.Owner
+	random  *rand.Rand
+
+	members []Member
+	role    role
+	state   *change.State
+	// newest is the newest version heard of, behind since when it is missing.
+	newest  catalog.Version
+	behind  time.Time
+	waiting map[int]*change.Delta
+
+	// call is the open call for the root, zero for none; watchAt is when the
+	// next watch may begin, readAt when silence is long enough for a read.
+	calls   uint64
+	call    uint64
+	stored  uint64
+	watchAt time.Time
+	readAt  time.Time
+	reads   int
+	// fetch is a root whose shards are being read.
+	fetch *fetch
+
+	askAt  time.Time
+	asks   int
+	headAt time.Time
+	// started makes the revisions of this start newer than earlier ones.
+	started  time.Time
+	sequence uint64
+	noticed  Notice
+	tally
+}
+
+// fetch collects the shards of a root.
+type fetch struct {
+	snapshot *change.Snapshot
+	open     map[uint64]bool
+}
+
+// New returns a reader without a configuration. A first root is trusted if one
+// of the anchors signed it, any root if there are none.
+func New(self Member, anchors []catalog.Owner, random *rand.Rand) *Reader {
+	return &Reader{
+		self:    self,
+		anchors: anchors,
+		random:  random,
+		role:    role{watches: true, top: true},
+		waiting: make(map[int]*change.Delta),
+		tally:   newTally(),
+	}
+}
+
+// State returns what is in force, nil for nothing.
+func (re *Reader) State() *change.State {
+	return re.state
+}
+
+// Watches reports whether the instance holds the watch of the root.
+func (re *Reader) Watches() bool {
+	return re.role.watches
+}
+
+// Members takes the present view of the live instances.
+func (re *Reader) Members(now time.Time, members []Member) []Action {
+	re.members = members
+	was := re.role
+	re.role = roleOf(re.self, members)
+	if re.role.parent != was.parent || re.role.top != was.top {
+		re.touch(now)
+	}
+	return re.Tick(now)
+}
+
+// jitter returns a time between one and two delays from now.
+func (re *Reader) jitter(now time.Time, delay time.Duration) time.Time {
+	return now.Add(delay + time.Duration(re.random.Int64N(int64(delay))))
+}
+
+// Tick does what is due.
+func (re *Reader) Tick(now time.Time) []Action {
+	if re.started.IsZero() {
+		re.started = now
+		re.readAt = re.jitter(now, SilenceMin)
+		re.headAt = now
+	}
+	var actions []Action
+	actions = append(actions, re.watch(now)...)
+	actions = append(actions, re.ask(now)...)
+	actions = append(actions, re.read(now)...)
+	actions = append(actions, re.announce(now)...)
+	actions = append(actions, re.report(now)...)
+	return append(actions, Action{Kind: ActionWake, Deadline: re.next(now)})
+}
+
+// next returns when something is due at the earliest.
+func (re *Reader) next(now time.Time) time.Time {
+	at := now.Add(ReportInterval)
+	due := []time.Time{re.readAt}
+	if re.role.watches {
+		due = append(due, re.headAt)
+		if re.call == 0 && re.fetch == nil {
+			due = append(due, re.watchAt)
+		}
+	}
+	if re.lacks() {
+		due = append(due, re.askAt, re.behind.Add(AskDelay))
+	}
+	due = append(due, re.reportAt)
+	for _, du := range due {
+		if du.After(now) && du.Before(at) {
+			at = du
+		}
+	}
+	return at
+}
+
+// lacks reports whether a newer version than the one in force is known of.
+func (re *Reader) lacks() bool {
+	return re.state == nil || re.state.Version().Less(re.newest)
+}
+
+// watch begins a watch of the root.
+func (re *Reader) watch(now time.Time) []Action {
+	if !re.role.watches || re.call != 0 || re.fetch != nil || now.Before(re.watchAt) {
+		return nil
+	}
+	until := now.Add(WatchWait)
+	ca := archive.Call{Kind: archive.KindWatch, Object: archive.Object{Name: change.RootName, Version: re.stored}, Until: until}
+	return []Action{re.root(ca, until.Add(CallTimeout))}
+}
+
+// root makes the one open call for the root.
+func (re *Reader) root(ca archive.Call, deadline time.Time) Action {
+	re.calls++
+	re.call = re.calls
+	ca.ID = re.call
+	return Action{Kind: ActionCall, Call: ca, Deadline: deadline}
+}
+
+// ask asks a peer for its snapshot if a delta did not come.
+func (re *Reader) ask(now time.Time) []Action {
+	if !re.lacks() || now.Before(re.askAt) || now.Before(re.behind.Add(AskDelay)) {
+		return nil
+	}
+	peer, ok := re.peer()
+	if !ok {
+		return nil
+	}
+	re.asks++
+	attempts := re.asks
+	if re.state == nil {
+		attempts = 1
+	}
+	re.askAt = re.jitter(now, grow(AskDelay, AskMax, attempts))
+	return []Action{{Kind: ActionAsk, Peer: peer}}
+}
+
+// grow doubles the delay with each attempt.
+func grow(delay, most time.Duration, attempts int) time.Duration {
+	return min(most, delay<<min(attempts, 16))
+}
+
+// peer returns a random other member, mostly of the same failure domain.
+func (re *Reader) peer() (netip.AddrPort, bool) {
+	var near, far []netip.AddrPort
+	for _, me := range re.members {
+		switch {
+		case me.Address == re.self.Address:
+		case me.Domain == re.self.Domain:
+			near = append(near, me.Address)
+		default:
+			far = append(far, me.Address)
+		}
+	}
+	const farShare = 4
+	if len(near) == 0 || len(far) > 0 && re.random.IntN(farShare) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return near[re.random.IntN(len(near))], true
+}
+
+// read reads the root after a long silence, or when nothing is in force and no
+// peer helped.
+func (re *Reader) read(now time.Time) []Action {
+	helpless := re.state == nil && re.asks >= AsksBeforeRead && re.reads == 0
+	if re.role.watches || re.call != 0 || re.fetch != nil || !helpless && now.Before(re.readAt) {
+		return nil
+	}
+	re.reads++
+	re.readAt = re.jitter(now, grow(SilenceMin, ReadMax, re.reads))
+	ca := archive.Call{Kind: archive.KindGet, Object: archive.Object{Name: change.RootName}}
+	return []Action{re.root(ca, now.Add(CallTimeout))}
+}
+
+// announce publishes the watcher's version from time to time.
+func (re *Reader) announce(now time.Time) []Action {
+	if !re.role.watches || re.state == nil || now.Before(re.headAt) {
+		return nil
+	}
+	re.headAt = re.jitter(now, HeadInterval/2)
+	body, err := cbor.Marshal(head{Version: re.state.Version()})
+	if err != nil {
+		return nil
+	}
+	return []Action{re.publish(KeyHead+re.self.Address.String(), body)}
+}
+
+// publish returns an item of which this instance is the only writer.
+func (re *Reader) publish(key string, body []byte) Action {
+	re.sequence++
+	revision := register.Revision{Incarnation: uint64(re.started.UnixMilli()), Sequence: re.sequence}
+	return Action{Kind: ActionPublish, Item: Item{Key: key, Revision: revision, Body: body}}
+}
+
+// news notes that a version exists and that the silence is over.
+func (re *Reader) news(now time.Time, version catalog.Version) {
+	re.reads = 0
+	re.readAt = re.jitter(now, SilenceMin)
+	if re.newest.Less(version) {
+		re.newest = version
+	}
+	if re.lacks() && re.behind.IsZero() {
+		re.behind = now
+	}
+}
+
+// Heard takes an item that gossip brought.
+func (re *Reader) Heard(now time.Time, it Item) []Action {
+	var actions []Action
+	switch {
+	case hasPrefix(it.Key, KeyDelta):
+		actions = re.heardDelta(now, it)
+	case hasPrefix(it.Key, KeyHead):
+		var he head
+		if cbor.Unmarshal(it.Body, &he) == nil {
+			re.news(now, he.Version)
+		}
+	case hasPrefix(it.Key, KeySum):
+		re.heardSum(now, it.Body)
+	}
+	return append(actions, re.Tick(now)...)
+}
+
+func hasPrefix(key, prefix string) bool {
+	return len(key) > len(prefix) && key[:len(prefix)] == prefix
+}
+
+// heardDelta applies the delta, or keeps it until those before it have come.
+func (re *Reader) heardDelta(now time.Time, it Item) []Action {
+	de, err := change.DecodeDelta(it.Body)
+	if err != nil {
+		return re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})
+	}
+	re.news(now, de.To())
+	re.waiting[int(de.To().Number%DeltaSlots)] = de
+	return re.applyWaiting(now)
+}
+
+// applyWaiting applies the deltas that fit, in order.
+func (re *Reader) applyWaiting(now time.Time) []Action {
+	var actions []Action
+	for re.state != nil {
+		slot, de := re.fitting()
+		if de == nil {
+			break
+		}
+		delete(re.waiting, slot)
+		next, err := re.state.Apply(de)
+		if err != nil {
+			actions = append(actions, re.notice(Notice{Kind: NoticeUntrusted, Store: de.To(), Reason: err.Error()})...)
+			continue
+		}
+		actions = append(actions, re.apply(now, next)...)
+	}
+	return actions
+}
+
+// fitting returns a waiting delta that applies to the state. Those that lead to
+// no newer version are dropped.
+func (re *Reader) fitting() (int, *change.Delta) {
+	for slot := range DeltaSlots {
+		de, ok := re.waiting[slot]
+		if !ok {
+			continue
+		}
+		if !re.state.Version().Less(de.To()) {
+			delete(re.waiting, slot)
+			continue
+		}
+		if !re.state.Version().Less(de.From) {
+			return slot, de
+		}
+	}
+	return 0, nil
+}
+
+// apply puts a newer state in force, and only a newer one.
+func (re *Reader) apply(now time.Time, next *change.State) []Action {
+	if !re.state.Version().Less(next.Version()) {
+		return nil
+	}
+	re.state = next
+	re.asks = 0
+	re.news(now, next.Version())
+	re.behind = time.Time{}
+	if re.lacks() {
+		re.behind = now
+	}
+	re.touch(now)
+	return []Action{{Kind: ActionApply, State: next}}
+}
+
+// Donated takes the snapshot of a peer.
+func (re *Reader) Donated(now time.Time, sn *change.Snapshot) []Action {
+	actions := re.adopt(now, sn)
+	actions = append(actions, re.applyWaiting(now)...)
+	return append(actions, re.Tick(now)...)
+}
+
+// adopt checks a complete snapshot and puts it in force if it is newer.
+func (re *Reader) adopt(now time.Time, sn *change.Snapshot) []Action {
+	if sn == nil || sn.Root == nil || !re.state.Version().Less(sn.Root.Version) {
+		return nil
+	}
+	if err := sn.Root.Verify(re.known(), re.anchors); err != nil {
+		return re.notice(Notice{Kind: NoticeUntrusted, Store: sn.Root.Version, Reason: err.Error()})
+	}
+	next, err := change.NewState(sn)
+	if err != nil {
+		return re.notice(Notice{Kind: NoticeUntrusted, Store: sn.Root.Version, Reason: err.Error()})
+	}
+	return re.apply(now, next)
+}
+
+func (re *Reader) known() *change.Root {
+	if re.state == nil {
+		return nil
+	}
+	return re.state.Snapshot.Root
+}
+
+// notice reports each matter once until another comes up.
+func (re *Reader) notice(no Notice) []Action {
+	no.InForce = re.state.Version()
+	if no == re.noticed {
+		return nil
+	}
+	re.noticed = no
+	return []Action{{Kind: ActionNotice, Notice: no}}
+}
+
+// Answered takes the end of a call to the store.
+func (re *Reader) Answered(now time.Time, an archive.Answer) []Action {
+	var actions []Action
+	switch {
+	case an.ID == re.call:
+		re.call = 0
+		actions = re.rootAnswered(now, an)
+	case re.fetch != nil && re.fetch.open[an.ID]:
+		actions = re.shardAnswered(now, an)
+	}
+	return append(actions, re.Tick(now)...)
+}
+
+func (re *Reader) rootAnswered(now time.Time, an archive.Answer) []Action {
+	re.watchAt = now
+	switch an.Result {
+	case archive.ResultDone:
+	case archive.ResultUnchanged:
+		re.news(now, re.state.Version())
+		return nil
+	default:
+		re.watchAt = re.jitter(now, WatchRetry)
+		return nil
+	}
+	ro, err := change.DecodeRoot(an.Object.Value)
+	if err != nil {
+		re.watchAt = re.jitter(now, WatchRetry)
+		return re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})
+	}
+	re.stored = an.Object.Version
+	return re.rootRead(now, ro)
+}
+
+// rootRead compares the store's root with what is in force.
+func (re *Reader) rootRead(now time.Time, ro *change.Root) []Action {
+	version := re.state.Version()
+	if ro.Version.Less(version) || ro.Version.Number < version.Number {
+		return re.notice(Notice{Kind: NoticeBehind, Store: ro.Version, Reason: "the store went back"})
+	}
+	re.news(now, ro.Version)
+	if err := ro.Verify(re.known(), re.anchors); err != nil {
+		return re.notice(Notice{Kind: NoticeUntrusted, Store: ro.Version, Reason: err.Error()})
+	}
+	if ro.Version == version {
+		return nil
+	}
+	fe := &fetch{snapshot: &change.Snapshot{Root: ro}, open: make(map[uint64]bool)}
+	if re.state != nil {
+		fe.snapshot.Values = slices.Clone(re.state.Snapshot.Values)
+	}
+	re.fetch = fe
+	var actions []Action
+	for _, sh := range fe.snapshot.Missing() {
+		re.calls++
+		fe.open[re.calls] = true
+		ca := archive.Call{ID: re.calls, Kind: archive.KindGet, Object: archive.Object{Name: sh.Name}}
+		actions = append(actions, Action{Kind: ActionCall, Call: ca, Deadline: now.Add(CallTimeout)})
+	}
+	if len(fe.open) == 0 {
+		return re.fetched(now)
+	}
+	return actions
+}
+
+// shardAnswered collects the shards. One that is missing belongs to a root that
+// was replaced meanwhile, so the root is read again.
+func (re *Reader) shardAnswered(now time.Time, an archive.Answer) []Action {
+	delete(re.fetch.open, an.ID)
+	if an.Result != archive.ResultDone {
+		re.fetch = nil
+		re.stored = 0
+		re.watchAt = re.jitter(now, WatchRetry)
+		return nil
+	}
+	sn := re.fetch.snapshot
+	sn.Values = append(sn.Values, change.Value{Name: an.Object.Name, Bytes: an.Object.Value})
+	if len(re.fetch.open) > 0 {
+		return nil
+	}
+	return re.fetched(now)
+}
+
+// fetched puts the read version in force and publishes what changed.
+func (re *Reader) fetched(now time.Time) []Action {
+	sn := re.fetch.snapshot
+	re.fetch = nil
+	sn.Trim()
+	before := re.state
+	actions := re.adopt(now, sn)
+	if before == nil || re.state == before {
+		return actions
+	}
+	re.headAt = now
+	de, ok := change.NewDelta(before, re.state)
+	if !ok {
+		return actions
+	}
+	body, err := de.Encode()
+	if err != nil {
+		return append(actions, re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})...)
+	}
+	to := de.To()
+	it := Item{
+		Key:      fmt.Sprintf("%s%d", KeyDelta, to.Number%DeltaSlots),
+		Revision: register.Revision{Incarnation: to.Term, Sequence: to.Number},
+		Urgent:   true,
+		Body:     body,
+	}
+	return append(actions, Action{Kind: ActionPublish, Item: it})
+}
--- /dev/null
+++ b/internal/coordination/rollout/tally.go
@@ -0,0 +1,130 @@
+package rollout
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// received is a report with the time at which it is dropped.
+type received struct {
+	Report
+	expires time.Time
+}
+
+// tally sums up the reports of the instances below and the published sums of
+// the failure domains.
+type tally struct {
+	below   map[netip.AddrPort]received
+	domains map[string]received
+	// reported is when the last report went out, reportAt when the next will.
+	reported time.Time
+	reportAt time.Time
+}
+
+func newTally() tally {
+	return tally{
+		below:   make(map[netip.AddrPort]received),
+		domains: make(map[string]received),
+	}
+}
+
+// touch lets the next report go out soon, that of the top less often.
+func (re *Reader) touch(now time.Time) {
+	soon := now.Add(ReportDelay)
+	if next := re.reported.Add(SpreadInterval); re.role.top && soon.Before(next) {
+		soon = next
+	}
+	if re.reportAt.IsZero() || soon.Before(re.reportAt) {
+		re.reportAt = soon
+	}
+}
+
+// Reported takes the report of an instance below.
+func (re *Reader) Reported(now time.Time, from netip.AddrPort, rp Report) []Action {
+	old, known := re.below[from]
+	re.below[from] = received{Report: rp, expires: now.Add(ReportExpiry)}
+	if !known || !old.same(rp) {
+		re.touch(now)
+	}
+	return re.Tick(now)
+}
+
+func (re Report) same(other Report) bool {
+	return re.Newest == other.Newest && re.Lowest == other.Lowest &&
+		re.Instances == other.Instances && re.Current == other.Current
+}
+
+// sum returns the report of this instance and all below it.
+func (re *Reader) sum(now time.Time) Report {
+	version := re.state.Version()
+	total := Report{
+		Domain:    re.self.Domain,
+		Newest:    version,
+		Lowest:    version,
+		Instances: 1,
+		Current:   1,
+		Holders:   []netip.AddrPort{re.self.Address},
+	}
+	for _, child := range re.role.children {
+		rp, known := re.below[child]
+		if known && now.Before(rp.expires) {
+			total = total.Add(rp.Report)
+		}
+	}
+	return total
+}
+
+// sweep drops the reports that were not repeated.
+func (ta *tally) sweep(now time.Time) {
+	for from, rp := range ta.below {
+		if !now.Before(rp.expires) {
+			delete(ta.below, from)
+		}
+	}
+}
+
+// report passes the sum on, to the parent or as the domain's to all.
+func (re *Reader) report(now time.Time) []Action {
+	if now.Before(re.reportAt) {
+		return nil
+	}
+	re.reportAt = now.Add(ReportInterval)
+	re.reported = now
+	re.sweep(now)
+	total := re.sum(now)
+	if !re.role.top {
+		return []Action{{Kind: ActionReport, Peer: re.role.parent, Report: total}}
+	}
+	re.domains[total.Domain] = received{Report: total, expires: now.Add(ReportExpiry)}
+	body, err := cbor.Marshal(total)
+	if err != nil {
+		return nil
+	}
+	return []Action{re.publish(KeySum+re.self.Address.String(), body)}
+}
+
+// heardSum takes the published sum of a failure domain.
+func (re *Reader) heardSum(now time.Time, body []byte) {
+	var rp Report
+	if cbor.Unmarshal(body, &rp) == nil {
+		re.domains[rp.Domain] = received{Report: rp, expires: now.Add(ReportExpiry)}
+	}
+}
+
+// InForce returns what the fleet has in force, as far as this instance knows.
+func (re *Reader) InForce(now time.Time) Report {
+	total := Report{}
+	for domain, rp := range re.domains {
+		if domain == re.self.Domain && re.role.top || !now.Before(rp.expires) {
+			continue
+		}
+		total = total.Add(rp.Report)
+	}
+	if re.role.top {
+		total = total.Add(re.sum(now))
+	}
+	total.Domain = ""
+	return total
+}
