feat: rollout core brings accepted versions to every instance

Two balancers of a failure domain hold the watch, publish each change as a signed delta of some hundred bytes and sum up acknowledgements along a tree of fan-out 16. Who is behind asks a peer, first one that was reported to have the newest version; who hears nothing for long reads the root with jitter.

Reports name holders now, and they are asked first.

--- a/internal/coordination/change/state.go
+++ b/internal/coordination/change/state.go
@@ -40,19 +40,20 @@
 // applies to every version from From up to, but without, that of its last
 // entry.
 type Delta struct {
+	_       struct{} `cbor:",toarray"`
 	From    catalog.Version
 	Entries []Entry
 	// Calendar replaces the calendar if Turns is true.
-	Turns       bool           `cbor:",omitempty"`
-	Calendar    []catalog.Turn `cbor:",omitempty"`
+	Turns       bool
+	Calendar    []catalog.Turn
 	NextService register.ServiceID
 	// Shards replace the references of their buckets; Emptied have none left.
-	Shards  []Shard `cbor:",omitempty"`
-	Emptied []int   `cbor:",omitempty"`
+	Shards  []Shard
+	Emptied []int
 	// Services replace those of the same number.
-	Services []catalog.Service    `cbor:",omitempty"`
-	Removed  []register.ServiceID `cbor:",omitempty"`
-	Rules    *Rules               `cbor:",omitempty"`
+	Services []catalog.Service
+	Removed  []register.ServiceID
+	Rules    *Rules
 }
 
 // deltaMode keeps times exact, so that digests match.
--- a/internal/coordination/rollout/reader.go
+++ b/internal/coordination/rollout/reader.go
@@ -36,13 +36,16 @@
 	anchors []catalog.Owner
 	random  *rand.Rand
 
-	members []Member
-	role    role
-	state   *change.State
+	view  *View
+	role  role
+	state *change.State
 	// newest is the newest version heard of, behind since when it is missing.
 	newest  catalog.Version
 	behind  time.Time
-	waiting map[int]*change.Delta
+	waiting map[int]waitingDelta
+	kept    keptDeltas
+	// gift is a peer's snapshot that is still incomplete.
+	gift *change.Snapshot
 
 	// call is the open call for the root, zero for none; watchAt is when the
 	// next watch may begin, readAt when silence is long enough for a read.
@@ -55,9 +58,11 @@
 	// fetch is a root whose shards are being read.
 	fetch *fetch
 
-	askAt  time.Time
-	asks   int
-	headAt time.Time
+	askAt time.Time
+	asks  int
+	// holders are some instances that have the newest version.
+	holders []netip.AddrPort
+	headAt  time.Time
 	// started makes the revisions of this start newer than earlier ones.
 	started  time.Time
 	sequence uint64
@@ -78,8 +83,9 @@
 		self:    self,
 		anchors: anchors,
 		random:  random,
+		view:    NewView(nil),
 		role:    role{watches: true, top: true},
-		waiting: make(map[int]*change.Delta),
+		waiting: make(map[int]waitingDelta),
 		tally:   newTally(),
 	}
 }
@@ -95,10 +101,10 @@
 }
 
 // Members takes the present view of the live instances.
-func (re *Reader) Members(now time.Time, members []Member) []Action {
-	re.members = members
+func (re *Reader) Members(now time.Time, vi *View) []Action {
+	re.view = vi
 	was := re.role
-	re.role = roleOf(re.self, members)
+	re.role = roleOf(re.self, vi)
 	if re.role.parent != was.parent || re.role.top != was.top {
 		re.touch(now)
 	}
@@ -160,11 +166,11 @@
 	}
 	until := now.Add(WatchWait)
 	ca := archive.Call{Kind: archive.KindWatch, Object: archive.Object{Name: change.RootName, Version: re.stored}, Until: until}
-	return []Action{re.root(ca, until.Add(CallTimeout))}
+	return []Action{re.callRoot(ca, until.Add(CallTimeout))}
 }
 
-// root makes the one open call for the root.
-func (re *Reader) root(ca archive.Call, deadline time.Time) Action {
+// callRoot makes the one open call for the root.
+func (re *Reader) callRoot(ca archive.Call, deadline time.Time) Action {
 	re.calls++
 	re.call = re.calls
 	ca.ID = re.call
@@ -177,16 +183,16 @@
 		return nil
 	}
 	peer, ok := re.peer()
-	if !ok {
-		return nil
-	}
 	re.asks++
 	attempts := re.asks
 	if re.state == nil {
 		attempts = 1
 	}
 	re.askAt = re.jitter(now, grow(AskDelay, AskMax, attempts))
-	return []Action{{Kind: ActionAsk, Peer: peer}}
+	if !ok {
+		return nil
+	}
+	return []Action{{Kind: ActionAsk, Peer: peer, Question: Question{Have: re.state.Version()}}}
 }
 
 // grow doubles the delay with each attempt.
@@ -194,26 +200,31 @@
 	return min(most, delay<<min(attempts, 16))
 }
 
-// peer returns a random other member, mostly of the same failure domain.
+// peer returns an instance that was reported to have the newest version, or a
+// random member, mostly of the same failure domain.
 func (re *Reader) peer() (netip.AddrPort, bool) {
-	var near, far []netip.AddrPort
-	for _, me := range re.members {
-		switch {
-		case me.Address == re.self.Address:
-		case me.Domain == re.self.Domain:
-			near = append(near, me.Address)
-		default:
-			far = append(far, me.Address)
-		}
+	near := re.view.orders[re.self.Domain]
+	const holderShare, farShare = 2, 4
+	if len(re.holders) > 0 && re.random.IntN(holderShare) == 0 {
+		return re.otherThan(re.holders[re.random.IntN(len(re.holders))])
 	}
-	const farShare = 4
-	if len(near) == 0 || len(far) > 0 && re.random.IntN(farShare) == 0 {
-		near = far
+	if len(near) < 2 || re.random.IntN(farShare) == 0 {
+		return re.farPeer()
 	}
-	if len(near) == 0 {
+	return re.otherThan(near[re.random.IntN(len(near))])
+}
+
+// farPeer returns a random member of any failure domain.
+func (re *Reader) farPeer() (netip.AddrPort, bool) {
+	if len(re.view.members) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return near[re.random.IntN(len(near))], true
+	return re.otherThan(re.view.members[re.random.IntN(len(re.view.members))].Address)
+}
+
+// otherThan returns the address unless it is this instance's own.
+func (re *Reader) otherThan(address netip.AddrPort) (netip.AddrPort, bool) {
+	return address, address != re.self.Address
 }
 
 // read reads the root after a long silence, or when nothing is in force and no
@@ -226,7 +237,7 @@
 	re.reads++
 	re.readAt = re.jitter(now, grow(SilenceMin, ReadMax, re.reads))
 	ca := archive.Call{Kind: archive.KindGet, Object: archive.Object{Name: change.RootName}}
-	return []Action{re.root(ca, now.Add(CallTimeout))}
+	return []Action{re.callRoot(ca, now.Add(CallTimeout))}
 }
 
 // announce publishes the watcher's version from time to time.
@@ -266,7 +277,7 @@
 	var actions []Action
 	switch {
 	case hasPrefix(it.Key, KeyDelta):
-		actions = re.heardDelta(now, it)
+		actions = re.takeDelta(now, it.Body)
 	case hasPrefix(it.Key, KeyHead):
 		var he head
 		if cbor.Unmarshal(it.Body, &he) == nil {
@@ -282,14 +293,20 @@
 	return len(key) > len(prefix) && key[:len(prefix)] == prefix
 }
 
-// heardDelta applies the delta, or keeps it until those before it have come.
-func (re *Reader) heardDelta(now time.Time, it Item) []Action {
-	de, err := change.DecodeDelta(it.Body)
+// waitingDelta is a delta whose predecessors have not come yet.
+type waitingDelta struct {
+	*change.Delta
+	encoded []byte
+}
+
+// takeDelta applies the delta, or keeps it until those before it have come.
+func (re *Reader) takeDelta(now time.Time, encoded []byte) []Action {
+	de, err := change.DecodeDelta(encoded)
 	if err != nil {
 		return re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})
 	}
 	re.news(now, de.To())
-	re.waiting[int(de.To().Number%DeltaSlots)] = de
+	re.waiting[int(de.To().Number%DeltaSlots)] = waitingDelta{Delta: de, encoded: encoded}
 	return re.applyWaiting(now)
 }
 
@@ -297,24 +314,26 @@
 func (re *Reader) applyWaiting(now time.Time) []Action {
 	var actions []Action
 	for re.state != nil {
-		slot, de := re.fitting()
-		if de == nil {
+		slot, ok := re.fitting()
+		if !ok {
 			break
 		}
+		de := re.waiting[slot]
 		delete(re.waiting, slot)
-		next, err := re.state.Apply(de)
+		next, err := re.state.Apply(de.Delta)
 		if err != nil {
 			actions = append(actions, re.notice(Notice{Kind: NoticeUntrusted, Store: de.To(), Reason: err.Error()})...)
 			continue
 		}
+		re.kept.keep(de.Delta, de.encoded)
 		actions = append(actions, re.apply(now, next)...)
 	}
 	return actions
 }
 
-// fitting returns a waiting delta that applies to the state. Those that lead to
-// no newer version are dropped.
-func (re *Reader) fitting() (int, *change.Delta) {
+// fitting returns the slot of a waiting delta that applies to the state. Those
+// that lead to no newer version are dropped.
+func (re *Reader) fitting() (int, bool) {
 	for slot := range DeltaSlots {
 		de, ok := re.waiting[slot]
 		if !ok {
@@ -325,10 +344,10 @@
 			continue
 		}
 		if !re.state.Version().Less(de.From) {
-			return slot, de
+			return slot, true
 		}
 	}
-	return 0, nil
+	return 0, false
 }
 
 // apply puts a newer state in force, and only a newer one.
@@ -347,19 +366,12 @@
 	return []Action{{Kind: ActionApply, State: next}}
 }
 
-// Donated takes the snapshot of a peer.
-func (re *Reader) Donated(now time.Time, sn *change.Snapshot) []Action {
-	actions := re.adopt(now, sn)
-	actions = append(actions, re.applyWaiting(now)...)
-	return append(actions, re.Tick(now)...)
-}
-
 // adopt checks a complete snapshot and puts it in force if it is newer.
 func (re *Reader) adopt(now time.Time, sn *change.Snapshot) []Action {
 	if sn == nil || sn.Root == nil || !re.state.Version().Less(sn.Root.Version) {
 		return nil
 	}
-	if err := sn.Root.Verify(re.known(), re.anchors); err != nil {
+	if err := sn.Root.Verify(re.root(), re.anchors); err != nil {
 		return re.notice(Notice{Kind: NoticeUntrusted, Store: sn.Root.Version, Reason: err.Error()})
 	}
 	next, err := change.NewState(sn)
@@ -369,7 +381,7 @@
 	return re.apply(now, next)
 }
 
-func (re *Reader) known() *change.Root {
+func (re *Reader) root() *change.Root {
 	if re.state == nil {
 		return nil
 	}
@@ -426,7 +438,7 @@
 		return re.notice(Notice{Kind: NoticeBehind, Store: ro.Version, Reason: "the store went back"})
 	}
 	re.news(now, ro.Version)
-	if err := ro.Verify(re.known(), re.anchors); err != nil {
+	if err := ro.Verify(re.root(), re.anchors); err != nil {
 		return re.notice(Notice{Kind: NoticeUntrusted, Store: ro.Version, Reason: err.Error()})
 	}
 	if ro.Version == version {
@@ -487,6 +499,10 @@
 	if err != nil {
 		return append(actions, re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})...)
 	}
+	re.kept.keep(de, body)
+	if len(body) > MaxDeltaBytes {
+		return actions
+	}
 	to := de.To()
 	it := Item{
 		Key:      fmt.Sprintf("%s%d", KeyDelta, to.Number%DeltaSlots),
--- a/internal/coordination/rollout/role.go
+++ b/internal/coordination/rollout/role.go
@@ -48,6 +48,29 @@
 	return order
 }
 
+// View is the live balancers. It is immutable and may be shared.
+type View struct {
+	members []Member
+	known   map[netip.AddrPort]bool
+	orders  map[string][]netip.AddrPort
+}
+
+// NewView returns the view of the members.
+func NewView(members []Member) *View {
+	vi := &View{
+		members: members,
+		known:   make(map[netip.AddrPort]bool, len(members)),
+		orders:  make(map[string][]netip.AddrPort),
+	}
+	for _, me := range members {
+		vi.known[me.Address] = true
+		if _, ranked := vi.orders[me.Domain]; !ranked {
+			vi.orders[me.Domain] = rank(me.Domain, members)
+		}
+	}
+	return vi
+}
+
 // role is what the view makes of one instance.
 type role struct {
 	// watches says that the instance holds the watch of the root.
@@ -60,10 +83,15 @@
 	children []netip.AddrPort
 }
 
-// roleOf returns the role of the instance in the view.
-func roleOf(self Member, members []Member) role {
-	order := rank(self.Domain, members)
-	at := max(slices.Index(order, self.Address), 0)
+// roleOf returns the role of the instance in the view. An instance that is no
+// member is a guest of the balancer that hashing chooses for it.
+func roleOf(self Member, vi *View) role {
+	order := vi.orders[self.Domain]
+	at := slices.Index(order, self.Address)
+	if at < 0 && len(vi.members) > 0 {
+		return role{parent: hostOf(self, vi.members)}
+	}
+	at = max(at, 0)
 	ro := role{watches: at < Watchers, top: at == 0}
 	if !ro.top {
 		ro.parent = order[(at-1)/FanOut]
@@ -72,3 +100,25 @@
 	ro.children = order[first:min(first+FanOut, len(order))]
 	return ro
 }
+
+// hostOf returns the balancer of the guest, of its own failure domain if there
+// is any.
+func hostOf(self Member, members []Member) netip.AddrPort {
+	near := slices.DeleteFunc(slices.Clone(members), func(me Member) bool { return me.Domain != self.Domain })
+	if len(near) == 0 {
+		near = members
+	}
+	best := near[0]
+	for _, me := range near {
+		if weight(self, me) > weight(self, best) {
+			best = me
+		}
+	}
+	return best.Address
+}
+
+// weight is the rendezvous weight of the balancer for the guest.
+func weight(self, me Member) uint64 {
+	name := self.Address.String() + me.Address.String()
+	return siphash.Hash(roleKey0, roleKey1, []byte(name))
+}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -56,6 +56,10 @@
 	AsksBeforeRead = 12
 	// ReportDelay is how long reports are collected before they are passed on.
 	ReportDelay = 300 * time.Millisecond
+	// ReportRepeat is when a changed report is sent again, ReportRepeats times,
+	// in case it got lost.
+	ReportRepeat  = 2 * time.Second
+	ReportRepeats = 2
 	// ReportInterval is when a report is repeated without a change.
 	ReportInterval = 30 * time.Second
 	// ReportExpiry is when a report that was not repeated is dropped.
@@ -64,11 +68,15 @@
 	SpreadInterval = 2 * time.Second
 	// DeltaSlots is the number of latest deltas that gossip keeps.
 	DeltaSlots = 16
+	// MaxDeltaBytes is the size of the largest delta that gossip carries; peers
+	// fetch a larger one.
+	MaxDeltaBytes = 1100
 	// MaxNamed is the number of laggards, and of holders, that a report names.
 	MaxNamed = 4
 )
 
-// Member is an instance that is to have the configuration in force.
+// Member is a balancer. Agents are guests: each reports to one balancer of its
+// failure domain and is no member of the tree.
 type Member struct {
 	Address netip.AddrPort
 	Domain  string
@@ -93,7 +101,7 @@
 	ActionPublish
 	// ActionApply puts State in force.
 	ActionApply
-	// ActionAsk asks Peer for its snapshot.
+	// ActionAsk puts Question to Peer; the answer is a Donation.
 	ActionAsk
 	// ActionReport sends Report to Peer.
 	ActionReport
@@ -111,6 +119,7 @@
 	Item     Item
 	State    *change.State
 	Peer     netip.AddrPort
+	Question Question
 	Report   Report
 	Notice   Notice
 }
--- a/internal/coordination/rollout/tally.go
+++ b/internal/coordination/rollout/tally.go
@@ -1,7 +1,9 @@
 package rollout
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,6 +23,8 @@
 	// reported is when the last report went out, reportAt when the next will.
 	reported time.Time
 	reportAt time.Time
+	// repeats is how often the present report is still to be repeated soon.
+	repeats int
 }
 
 func newTally() tally {
@@ -36,6 +40,7 @@
 	if next := re.reported.Add(SpreadInterval); re.role.top && soon.Before(next) {
 		soon = next
 	}
+	re.repeats = ReportRepeats
 	if re.reportAt.IsZero() || soon.Before(re.reportAt) {
 		re.reportAt = soon
 	}
@@ -48,9 +53,18 @@
 	if !known || !old.same(rp) {
 		re.touch(now)
 	}
+	re.learn(now, rp)
 	return re.Tick(now)
 }
 
+// learn notes the newest version of a report and who has it.
+func (re *Reader) learn(now time.Time, rp Report) {
+	re.news(now, rp.Newest)
+	if !rp.Newest.Less(re.newest) && len(rp.Holders) > 0 {
+		re.holders = rp.Holders
+	}
+}
+
 func (re Report) same(other Report) bool {
 	return re.Newest == other.Newest && re.Lowest == other.Lowest &&
 		re.Instances == other.Instances && re.Current == other.Current
@@ -67,15 +81,21 @@
 		Current:   1,
 		Holders:   []netip.AddrPort{re.self.Address},
 	}
-	for _, child := range re.role.children {
-		rp, known := re.below[child]
-		if known && now.Before(rp.expires) {
+	for _, from := range slices.SortedFunc(maps.Keys(re.below), netip.AddrPort.Compare) {
+		rp := re.below[from]
+		if now.Before(rp.expires) && re.counts(from) {
 			total = total.Add(rp.Report)
 		}
 	}
 	return total
 }
 
+// counts reports whether the sender is one of this instance's children or a
+// guest. A member that is neither reports to another by now.
+func (re *Reader) counts(from netip.AddrPort) bool {
+	return slices.Contains(re.role.children, from) || !re.view.known[from]
+}
+
 // sweep drops the reports that were not repeated.
 func (ta *tally) sweep(now time.Time) {
 	for from, rp := range ta.below {
@@ -91,6 +111,10 @@
 		return nil
 	}
 	re.reportAt = now.Add(ReportInterval)
+	if re.repeats > 0 && !re.role.top {
+		re.repeats--
+		re.reportAt = now.Add(ReportRepeat)
+	}
 	re.reported = now
 	re.sweep(now)
 	total := re.sum(now)
@@ -110,13 +134,15 @@
 	var rp Report
 	if cbor.Unmarshal(body, &rp) == nil {
 		re.domains[rp.Domain] = received{Report: rp, expires: now.Add(ReportExpiry)}
+		re.learn(now, rp)
 	}
 }
 
 // InForce returns what the fleet has in force, as far as this instance knows.
 func (re *Reader) InForce(now time.Time) Report {
 	total := Report{}
-	for domain, rp := range re.domains {
+	for _, domain := range slices.Sorted(maps.Keys(re.domains)) {
+		rp := re.domains[domain]
 		if domain == re.self.Domain && re.role.top || !now.Before(rp.expires) {
 			continue
 		}
