--- /dev/null
+++ b/internal/coordination/rollout/role.go
@@ -0,0 +1,124 @@
+package rollout
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/dchest/siphash"
+)
+
+// The key of the rendezvous hash. It spreads roles and guards nothing.
+const (
+	roleKey0 = 0x636f6e6669677572
+	roleKey1 = 0x6174696f6e726f6c
+)
+
+// rank returns the members of the domain in rendezvous order. All instances
+// with the same view get the same order; a member that comes or goes moves no
+// other past another.
+func rank(domain string, members []Member) []netip.AddrPort {
+	type ranked struct {
+		address netip.AddrPort
+		hash    uint64
+	}
+	var found []ranked
+	var buffer []byte
+	for _, me := range members {
+		if me.Domain != domain {
+			continue
+		}
+		host := me.Address.Addr().As16()
+		buffer = append(buffer[:0], domain...)
+		buffer = append(buffer, host[:]...)
+		buffer = binary.BigEndian.AppendUint16(buffer, me.Address.Port())
+		found = append(found, ranked{address: me.Address, hash: siphash.Hash(roleKey0, roleKey1, buffer)})
+	}
+	slices.SortFunc(found, func(a, b ranked) int {
+		if a.hash != b.hash {
+			return cmp.Compare(a.hash, b.hash)
+		}
+		return a.address.Compare(b.address)
+	})
+	order := make([]netip.AddrPort, 0, len(found))
+	for _, ra := range found {
+		order = append(order, ra.address)
+	}
+	return order
+}
+
+// View is the live balancers. It is immutable and may be shared.
+type View struct {
+	members []Member
+	known   map[netip.AddrPort]bool
+	orders  map[string][]netip.AddrPort
+}
+
+// NewView returns the view of the members.
+func NewView(members []Member) *View {
+	vi := &View{
+		members: members,
+		known:   make(map[netip.AddrPort]bool, len(members)),
+		orders:  make(map[string][]netip.AddrPort),
+	}
+	for _, me := range members {
+		vi.known[me.Address] = true
+		if _, ranked := vi.orders[me.Domain]; !ranked {
+			vi.orders[me.Domain] = rank(me.Domain, members)
+		}
+	}
+	return vi
+}
+
+// role is what the view makes of one instance.
+type role struct {
+	// watches says that the instance holds the watch of the root.
+	watches bool
+	// top says that the instance publishes the domain's sum.
+	top bool
+	// parent takes the instance's report, invalid for the top.
+	parent netip.AddrPort
+	// children send their reports here.
+	children []netip.AddrPort
+}
+
+// roleOf returns the role of the instance in the view. An instance that is no
+// member is a guest of the balancer that hashing chooses for it.
+func roleOf(self Member, vi *View) role {
+	order := vi.orders[self.Domain]
+	at := slices.Index(order, self.Address)
+	if at < 0 && len(vi.members) > 0 {
+		return role{parent: hostOf(self, vi.members)}
+	}
+	at = max(at, 0)
+	ro := role{watches: at < Watchers, top: at == 0}
+	if !ro.top {
+		ro.parent = order[(at-1)/FanOut]
+	}
+	first := min(at*FanOut+1, len(order))
+	ro.children = order[first:min(first+FanOut, len(order))]
+	return ro
+}
+
+// hostOf returns the balancer of the guest, of its own failure domain if there
+// is any.
+func hostOf(self Member, members []Member) netip.AddrPort {
+	near := slices.DeleteFunc(slices.Clone(members), func(me Member) bool { return me.Domain != self.Domain })
+	if len(near) == 0 {
+		near = members
+	}
+	best := near[0]
+	for _, me := range near {
+		if weight(self, me) > weight(self, best) {
+			best = me
+		}
+	}
+	return best.Address
+}
+
+// weight is the rendezvous weight of the balancer for the guest.
+func weight(self, me Member) uint64 {
+	name := self.Address.String() + me.Address.String()
+	return siphash.Hash(roleKey0, roleKey1, []byte(name))
+}
