--- /dev/null
+++ b/internal/coordination/route/hash.go
@@ -0,0 +1,144 @@
+package route
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"math/bits"
+	"net/netip"
+
+	"github.com/dchest/siphash"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+const (
+	// BucketCount is the number of buckets of every service. It never depends
+	// on the hosts, so that no number of hosts moves all buckets at once.
+	BucketCount = 1 << bucketBits
+
+	bucketBits = 16
+	golden     = 0x9e3779b97f4a7c15
+)
+
+// Key makes the buckets unpredictable for callers. All instances of a
+// deployment share it.
+type Key struct {
+	First, Second uint64
+}
+
+// KeyOf derives a key from a secret of any length.
+func KeyOf(secret []byte) Key {
+	sum := sha256.Sum256(append([]byte("corneltiller buckets "), secret...))
+	return Key{
+		First:  binary.BigEndian.Uint64(sum[0:8]),
+		Second: binary.BigEndian.Uint64(sum[8:16]),
+	}
+}
+
+// addressLength is the length of a service number with an address in bytes.
+const addressLength = 4 + 16 + 2
+
+func addressBytes(service register.ServiceID, address netip.AddrPort) [addressLength]byte {
+	var buffer [addressLength]byte
+	ip := address.Addr().As16()
+	binary.BigEndian.PutUint32(buffer[0:4], uint32(service))
+	copy(buffer[4:20], ip[:])
+	binary.BigEndian.PutUint16(buffer[20:22], address.Port())
+	return buffer
+}
+
+// bucket returns the bucket of a caller.
+func (ke Key) bucket(service register.ServiceID, caller netip.AddrPort) uint64 {
+	buffer := addressBytes(service, caller)
+	return siphash.Hash(ke.First, ke.Second, buffer[:]) >> (64 - bucketBits)
+}
+
+// seed returns the number from which a host's rank in every bucket follows.
+func (ke Key) seed(service register.ServiceID, host netip.AddrPort) uint64 {
+	buffer := addressBytes(service, host)
+	return siphash.Hash(^ke.First, ke.Second, buffer[:])
+}
+
+// flow returns the key of a flow in a FlowTable.
+func (ke Key) flow(caller netip.AddrPort, id []byte) uint64 {
+	const maxID = 20
+	var buffer [addressLength + maxID]byte
+	address := addressBytes(0, caller)
+	copy(buffer[:], address[:])
+	length := addressLength + copy(buffer[addressLength:], id)
+	return siphash.Hash(ke.First, ^ke.Second, buffer[:length])
+}
+
+const (
+	logBits  = 10
+	logSteps = 1 << logBits
+	// inverseUnit is the inverse of the weight 1. It leaves room to multiply a
+	// logarithm by it.
+	inverseUnit = 1 << 24
+	// noCost is worse than the cost of any host.
+	noCost = ^uint64(0)
+)
+
+// logTable holds log2(1 + i/logSteps) in units of 2^-32. It is worked out in
+// integers, so that all machines rank hosts alike.
+var logTable = newLogTable()
+
+func newLogTable() (table [logSteps + 1]uint64) {
+	for i := range table {
+		table[i] = log2Fraction(uint64(i))
+	}
+	return table
+}
+
+// log2Fraction returns log2(1 + i/logSteps) in units of 2^-32, bit by bit: the
+// square of the mantissa passes 2 whenever the next bit is set.
+func log2Fraction(i uint64) uint64 {
+	if i == logSteps {
+		return 1 << 32
+	}
+	const one = 1 << 31
+	mantissa := uint64(one) + i<<(31-logBits)
+	result := uint64(0)
+	for range 32 {
+		mantissa = mantissa * mantissa >> 31
+		result <<= 1
+		if mantissa >= 2*one {
+			mantissa >>= 1
+			result |= 1
+		}
+	}
+	return result
+}
+
+// negativeLog returns -log2(x / 2^64) in units of 2^-32.
+func negativeLog(x uint64) uint64 {
+	zeros := bits.LeadingZeros64(x | 1)
+	mantissa := x << (zeros + 1)
+	i := mantissa >> (64 - logBits)
+	rest := mantissa >> (32 - logBits) & (1<<32 - 1)
+	low := logTable[i]
+	return uint64(zeros+1)<<32 - low - (logTable[i+1]-low)*rest>>32
+}
+
+// draw returns the host's pseudo-random number in a bucket.
+func draw(seed, bucket uint64) uint64 {
+	z := seed + (bucket+1)*golden
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// exponent returns the part of a host's cost in a bucket that doesn't depend on
+// its weight. It is exponentially distributed.
+func exponent(seed, bucket uint64) uint64 {
+	return negativeLog(draw(seed, bucket))
+}
+
+// inverseOf returns the factor that turns an exponent into a cost; the host of
+// least cost owns the bucket. It is zero for a weight of zero.
+func inverseOf(weight uint16) uint64 {
+	if weight == 0 {
+		return 0
+	}
+	return inverseUnit / uint64(weight)
+}
