feat: balancers and agents steer by the routing cores

Cause: flows were steered by modulo, which moved most flows at each change, and an agent took any packet. Balancers now take the chain from route.Table, agents decide by route.FlowTable, and the envelope carries the route header (51 bytes at most with an IPv4 caller). A draining agent lingers until no new flow comes.

--- a/internal/protocol/envelope/envelope.go
+++ b/internal/protocol/envelope/envelope.go
@@ -1,10 +1,11 @@
 // Package envelope encodes the header that balancers and agents put before a
 // caller's datagram.
 //
-// The header names the service, the candidate chain of hosts, the caller and
-// the balancer that takes the answer. It carries a keyed tag, so that a
-// datagram from elsewhere is refused. With an IPv4 caller it takes at most 48
-// bytes: a first QUIC packet of 1,200 bytes still crosses a path of 1,280.
+// The envelope carries what agents decide by (a route.Header) and the way back:
+// the service's entry and the balancer that takes the answer. It has a keyed
+// tag, so that a datagram from elsewhere is refused. With an IPv4 caller it
+// takes at most 51 bytes: a first QUIC packet of 1,200 bytes still crosses a
+// path of 1,280.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 	"github.com/dchest/siphash"
 	"github.com/go-faster/errors"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
@@ -35,20 +37,17 @@
 )
 
 const (
-	// MaxChain is the largest number of candidates in a chain.
-	MaxChain = 3
 	// MaxLength is the largest length of a header in bytes.
-	MaxLength = 1 + 3 + 1 + 3 + MaxChain*hopLength + 18 + 6 + tagLength
-
-	// IndexReturned is the hop index of a datagram that the last candidate of
-	// a chain handed back to the first.
-	IndexReturned uint8 = 3
+	MaxLength = fixedLength + route.MaxChain*hopLength + longLength + shortLength + tagLength
 
 	formatVersion  = 1
-	hopLength      = 8
+	hopLength      = shortLength + 2
+	shortLength    = 6
+	longLength     = 18
 	tagLength      = 4
-	fixedLength    = 1 + 3 + 1 + 3
+	fixedLength    = 2 + 2 + 3 + 1 + 3
 	flagLongCaller = 0x10
+	maxHops        = 15
 )
 
 // The errors of Decode and Append.
@@ -60,26 +59,16 @@
 	ErrChain     = errors.New("envelope has a chain of invalid length")
 )
 
-// Hop is one candidate of a chain.
-type Hop struct {
-	Address     netip.AddrPort
-	Incarnation uint16
-}
-
 // Envelope is the header of one datagram.
 type Envelope struct {
+	// Header is what agents decide by. Of an incarnation only the low 16 bits
+	// cross the network.
+	route.Header
 	Kind Kind
-	// Index is the position in Chain of the receiver, or IndexReturned.
-	Index uint8
-	// Count is the number of candidates in Chain.
-	Count   uint8
-	Service register.ServiceID
 	// Entry is the position of the caller's destination among the service's addresses.
 	Entry uint8
 	// Version holds the low 24 bits of the configuration that the sender has in force.
 	Version uint32
-	Chain   [MaxChain]Hop
-	Caller  netip.AddrPort
 	// Balancer is where the answer is to be sent.
 	Balancer netip.AddrPort
 }
@@ -100,20 +89,23 @@
 
 // Append appends the encoded envelope and the payload to dst.
 func (co *Codec) Append(dst []byte, en *Envelope, payload []byte) ([]byte, error) {
-	if en.Count > MaxChain {
+	if en.Chain.Count > route.MaxChain || en.Hops > maxHops {
 		return dst, ErrChain
 	}
 	start := len(dst)
 	dst = append(dst, en.head(),
+		en.Chain.Asked<<6|byte(en.Request&3)<<4|en.Hops&maxHops,
+		byte(en.Pressure>>8), byte(en.Pressure),
 		byte(en.Service>>16), byte(en.Service>>8), byte(en.Service),
 		en.Entry,
 		byte(en.Version>>16), byte(en.Version>>8), byte(en.Version))
-	for i := range en.Count {
+	for i := range en.Chain.Count {
+		ca := &en.Chain.Hosts[i]
 		var ok bool
-		if dst, ok = appendShort(dst, en.Chain[i].Address); !ok {
+		if dst, ok = appendShort(dst, ca.Address); !ok {
 			return dst[:start], ErrAddress
 		}
-		dst = binary.BigEndian.AppendUint16(dst, en.Chain[i].Incarnation)
+		dst = binary.BigEndian.AppendUint16(dst, uint16(ca.Incarnation))
 	}
 	dst = appendCaller(dst, en.Caller)
 	dst, ok := appendShort(dst, en.Balancer)
@@ -129,7 +121,7 @@
 }
 
 func (en *Envelope) head() byte {
-	head := byte(formatVersion<<6) | byte(en.Kind&1)<<5 | (en.Index&3)<<2 | en.Count&3
+	head := byte(formatVersion<<6) | byte(en.Kind&1)<<5 | (en.Index&3)<<2 | en.Chain.Count&3
 	if !isShort(en.Caller) {
 		head |= flagLongCaller
 	}
@@ -158,9 +150,9 @@
 }
 
 func headerLength(head byte) int {
-	length := fixedLength + int(head&3)*hopLength + 6 + 6 + tagLength
+	length := fixedLength + int(head&3)*hopLength + shortLength + shortLength + tagLength
 	if head&flagLongCaller != 0 {
-		length += 12
+		length += longLength - shortLength
 	}
 	return length
 }
@@ -169,21 +161,29 @@
 	head := body[0]
 	en.Kind = Kind(head >> 5 & 1)
 	en.Index = head >> 2 & 3
-	en.Count = head & 3
-	en.Service = register.ServiceID(body[1])<<16 | register.ServiceID(body[2])<<8 | register.ServiceID(body[3])
-	en.Entry = body[4]
-	en.Version = uint32(body[5])<<16 | uint32(body[6])<<8 | uint32(body[7])
+	en.Chain.Count = head & 3
+	en.Chain.Asked = body[1] >> 6
+	en.Request = route.Request(body[1] >> 4 & 3)
+	en.Hops = body[1] & maxHops
+	en.Pressure = route.Pressure(binary.BigEndian.Uint16(body[2:]))
+	en.Service = register.ServiceID(body[4])<<16 | register.ServiceID(body[5])<<8 | register.ServiceID(body[6])
+	en.Entry = body[7]
+	en.Version = uint32(body[8])<<16 | uint32(body[9])<<8 | uint32(body[10])
 	body = body[fixedLength:]
-	for i := range en.Count {
-		en.Chain[i] = Hop{Address: readShort(body), Incarnation: binary.BigEndian.Uint16(body[6:])}
+	en.Chain.Hosts = [route.MaxChain]route.Candidate{}
+	for i := range en.Chain.Count {
+		en.Chain.Hosts[i] = route.Candidate{
+			Address:     readShort(body),
+			Incarnation: uint64(binary.BigEndian.Uint16(body[shortLength:])),
+		}
 		body = body[hopLength:]
 	}
 	if head&flagLongCaller != 0 {
 		en.Caller = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body[:16])), binary.BigEndian.Uint16(body[16:]))
-		body = body[18:]
+		body = body[longLength:]
 	} else {
 		en.Caller = readShort(body)
-		body = body[6:]
+		body = body[shortLength:]
 	}
 	en.Balancer = readShort(body)
 }
--- a/internal/protocol/envelope/envelope_test.go
+++ b/internal/protocol/envelope/envelope_test.go
@@ -9,6 +9,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
@@ -43,16 +44,25 @@
 func drawEnvelope(t *rapid.T) Envelope {
 	en := Envelope{
 		Kind:     Kind(rapid.IntRange(0, 1).Draw(t, "kind")),
-		Index:    uint8(rapid.IntRange(0, 3).Draw(t, "index")),
-		Count:    uint8(rapid.IntRange(0, MaxChain).Draw(t, "count")),
-		Service:  register.ServiceID(rapid.Uint32Range(0, uint32(register.MaxServiceID)).Draw(t, "service")),
 		Entry:    rapid.Uint8().Draw(t, "entry"),
 		Version:  rapid.Uint32Range(0, 1<<24-1).Draw(t, "version"),
-		Caller:   drawCaller(t),
 		Balancer: drawShort(t, "balancer"),
+		Header: route.Header{
+			Service:  register.ServiceID(rapid.Uint32Range(0, uint32(register.MaxServiceID)).Draw(t, "service")),
+			Caller:   drawCaller(t),
+			Index:    uint8(rapid.IntRange(0, 3).Draw(t, "index")),
+			Hops:     uint8(rapid.IntRange(0, route.MaxHops).Draw(t, "hops")),
+			Request:  route.Request(rapid.IntRange(0, 3).Draw(t, "request")),
+			Pressure: route.Pressure(rapid.Uint16().Draw(t, "pressure")),
+		},
 	}
-	for i := range en.Count {
-		en.Chain[i] = Hop{Address: drawShort(t, "hop"), Incarnation: rapid.Uint16().Draw(t, "incarnation")}
+	en.Chain.Count = uint8(rapid.IntRange(0, route.MaxChain).Draw(t, "count"))
+	en.Chain.Asked = uint8(rapid.IntRange(0, int(en.Chain.Count)).Draw(t, "asked"))
+	for i := range en.Chain.Count {
+		en.Chain.Hosts[i] = route.Candidate{
+			Address:     drawShort(t, "hop"),
+			Incarnation: uint64(rapid.Uint16().Draw(t, "incarnation")),
+		}
 	}
 	return en
 }
@@ -81,13 +91,10 @@
 
 func TestFirstPacketCrossesTheSmallestPath(t *testing.T) {
 	convey.Convey("The largest envelope of an IPv4 caller leaves room for a first packet", t, func() {
-		hop := Hop{Address: netip.MustParseAddrPort("10.0.0.1:1")}
-		en := Envelope{
-			Count:    MaxChain,
-			Chain:    [MaxChain]Hop{hop, hop, hop},
-			Caller:   netip.MustParseAddrPort("198.51.100.1:1"),
-			Balancer: hop.Address,
-		}
+		hop := route.Candidate{Address: netip.MustParseAddrPort("10.0.0.1:1")}
+		en := Envelope{Balancer: hop.Address}
+		en.Caller = netip.MustParseAddrPort("198.51.100.1:1")
+		en.Chain = route.Chain{Count: route.MaxChain, Hosts: [route.MaxChain]route.Candidate{hop, hop, hop}}
 		datagram, err := NewCodec([]byte("secret")).Append(nil, &en, make([]byte, firstPacket))
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(len(datagram), convey.ShouldBeLessThanOrEqualTo, smallestPath-ipAndUDPHeader)
@@ -96,12 +103,10 @@
 
 func FuzzDecode(f *testing.F) {
 	co := NewCodec([]byte("secret"))
-	en := Envelope{
-		Count:    1,
-		Chain:    [MaxChain]Hop{{Address: netip.MustParseAddrPort("10.0.0.1:1")}},
-		Caller:   netip.MustParseAddrPort("[2001:db8::1]:1"),
-		Balancer: netip.MustParseAddrPort("10.0.0.2:2"),
-	}
+	en := Envelope{Balancer: netip.MustParseAddrPort("10.0.0.2:2")}
+	en.Caller = netip.MustParseAddrPort("[2001:db8::1]:1")
+	en.Chain.Count = 1
+	en.Chain.Hosts[0].Address = netip.MustParseAddrPort("10.0.0.1:1")
 	good, err := co.Append(nil, &en, []byte("payload"))
 	if err != nil {
 		f.Fatal(err)
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/protocol/message"
@@ -38,6 +40,8 @@
 	announceTimeout = time.Second
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
+	// maxFlows bounds the flows that the agent knows, its own and others'.
+	maxFlows = 1 << 17
 	// initialPacketSize leaves room for the envelope on a path of 1,280 bytes.
 	initialPacketSize = 1200
 )
@@ -65,9 +69,15 @@
 	backend   *http.Client
 	abortOnce sync.Once
 	aborted   chan struct{}
+	counts    counts
+	// connections is the number of open flows.
+	connections atomic.Int64
 
-	mu     sync.Mutex
-	record register.Host
+	// Lock order: mu before flowsMu.
+	mu      sync.Mutex
+	record  register.Host
+	flowsMu sync.Mutex
+	flows   *route.FlowTable
 }
 
 // Open takes the agent's addresses.
@@ -79,6 +89,7 @@
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
 		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		aborted:   make(chan struct{}),
+		counts:    newCounts(cfg.Board),
 	}
 	var err error
 	if ag.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
@@ -103,6 +114,7 @@
 		State:    register.StateReady,
 		Weight:   register.FullWeight,
 	}
+	ag.flows = route.NewFlowTable(ag.record, route.KeyOf(cfg.Material.Secret()), time.Now(), maxFlows)
 	ag.openServer()
 	return ag, nil
 }
@@ -119,7 +131,20 @@
 		ConnectionIDGenerator: la,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
-	ag.server = &http3.Server{Handler: ag}
+	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+}
+
+// countConnection tells the flow table how many flows are open.
+func (ag *Agent) countConnection(ctx context.Context, co *quic.Conn) context.Context {
+	ag.setConnections(ag.connections.Add(1))
+	context.AfterFunc(co.Context(), func() { ag.setConnections(ag.connections.Add(-1)) })
+	return ctx
+}
+
+func (ag *Agent) setConnections(count int64) {
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetConnections(int(count))
 }
 
 // resetKey returns the key of the stateless reset tokens (RFC 9000, section
@@ -152,7 +177,9 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	eg, serving := errgroup.WithContext(serving)
-	eg.Go(func() error { return ag.socket.Serve(ag.fromNetwork) })
+	eg.Go(func() error {
+		return ag.socket.ServeEach(func() socket.Handler { return ag.newReceiver().fromNetwork })
+	})
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.announce(serving) })
@@ -199,15 +226,25 @@
 	if err := ag.server.Shutdown(ctx); err != nil {
 		klog.InfoS("Agent stopped with open requests", "Err", err)
 	}
+	// New flows come here until the last balancer knows that the host leaves.
+	socket.AwaitQuiet(ag.traffic, deadline)
 	ag.advance(register.StateGone)
 	ag.announceOnce(ctx)
 }
 
+// traffic returns the number of callers' datagrams taken so far.
+func (ag *Agent) traffic() int64 {
+	return ag.counts.accepted.Count() + ag.counts.passed.Count()
+}
+
 func (ag *Agent) advance(st register.State) {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.record.State = st
 	ag.record.Sequence++
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetSelf(ag.record)
 }
 
 func (ag *Agent) announce(ctx context.Context) error {
--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -5,52 +5,115 @@
 	"encoding/binary"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
+// receiver holds what one worker needs for the datagrams of balancers and
+// agents.
+type receiver struct {
+	agent    *Agent
+	decoder  *label.Decoder
+	envelope envelope.Envelope
+}
+
+func (ag *Agent) newReceiver() *receiver {
+	return &receiver{agent: ag, decoder: ag.labels.NewDecoder()}
+}
+
 // fromNetwork takes an enveloped datagram from a balancer or another agent.
-func (ag *Agent) fromNetwork(_ *socket.Worker, _ netip.AddrPort, datagram []byte) {
-	var en envelope.Envelope
-	payload, err := ag.envelopes.Decode(datagram, &en)
+func (rc *receiver) fromNetwork(wo *socket.Worker, from netip.AddrPort, datagram []byte) {
+	ag, en := rc.agent, &rc.envelope
+	payload, err := ag.envelopes.Decode(datagram, en)
 	if err != nil || en.Kind != envelope.KindToHost {
-		ag.cfg.Board.Count("DatagramsMalformed", 1)
+		ag.counts.malformed.Inc(1)
 		return
 	}
-	if en.Service != ag.service {
-		ag.cfg.Board.Count("DatagramsWrongService", 1)
+	packet, ok := label.Parse(payload)
+	if !ok {
+		ag.counts.malformed.Inc(1)
 		return
 	}
-	if _, ok := label.Parse(payload); !ok {
-		ag.cfg.Board.Count("DatagramsMalformed", 1)
+	pk := route.Packet{Header: en.Header, Sender: from, ID: packet.Destination}
+	if pl, ok := rc.decoder.Decode(packet.Destination); ok {
+		pk.Routable = true
+		pk.Target = route.Target{Address: pl.Host, Incarnation: pl.Incarnation}
+		if pl.Service != ag.service {
+			ag.counts.dropped[route.ReasonWrongService].Inc(1)
+			return
+		}
+	} else if !packet.Long {
+		ag.counts.malformed.Inc(1)
 		return
 	}
-	if !ag.relay.push(en.Caller, route{balancer: en.Balancer, entry: en.Entry}, payload) {
-		ag.cfg.Board.Count("DatagramsQueueFull", 1)
-		return
+	rc.follow(wo, ag.decide(pk), payload)
+}
+
+// decide asks the flow table about a packet. A packet to a host that has left
+// is accepted: the QUIC server answers it with a stateless reset, which ends
+// the flow.
+func (ag *Agent) decide(pk route.Packet) route.Decision {
+	if pk.Routable && pk.Service == ag.service && ag.left(pk.Target) {
+		ag.counts.reset.Inc(1)
+		return route.Decision{Action: route.ActionAccept}
+	}
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	return ag.flows.Decide(time.Now(), pk)
+}
+
+// left reports whether a host has left for good or started again, as far as
+// this agent knows.
+func (ag *Agent) left(ta route.Target) bool {
+	if ta.Address == ag.record.Address {
+		return ta.Incarnation != uint16(ag.record.Incarnation)
+	}
+	return false
+}
+
+// follow does what was decided.
+func (rc *receiver) follow(wo *socket.Worker, de route.Decision, payload []byte) {
+	ag, en := rc.agent, &rc.envelope
+	switch de.Action {
+	case route.ActionAccept, route.ActionOpen:
+		if !ag.relay.push(en.Caller, wayBack{balancer: en.Balancer, entry: en.Entry}, payload) {
+			ag.counts.queueFull.Inc(1)
+			return
+		}
+		ag.counts.accepted.Inc(1)
+	case route.ActionForward:
+		en.Header = de.Header
+		datagram, err := ag.envelopes.Append(wo.Scratch[:0], en, payload)
+		if err != nil || wo.Send(datagram, de.To) != nil {
+			ag.counts.sendFailed.Inc(1)
+			return
+		}
+		ag.counts.passed.Inc(1)
+	default:
+		ag.counts.dropped[de.Reason].Inc(1)
 	}
-	ag.cfg.Board.Count("DatagramsAccepted", 1)
 }
 
 // sendToCaller sends an answer by way of a balancer.
-func (ag *Agent) sendToCaller(payload []byte, caller netip.AddrPort, ro route) error {
+func (ag *Agent) sendToCaller(payload []byte, caller netip.AddrPort, way wayBack) error {
 	en := envelope.Envelope{
 		Kind:     envelope.KindToCaller,
-		Service:  ag.service,
-		Entry:    ro.entry,
-		Caller:   caller,
-		Balancer: ro.balancer,
+		Entry:    way.entry,
+		Balancer: way.balancer,
+		Header:   route.Header{Service: ag.service, Caller: caller},
 	}
 	buffer := make([]byte, 0, envelope.MaxLength+len(payload))
 	datagram, err := ag.envelopes.Append(buffer, &en, payload)
 	if err != nil {
 		return err
 	}
-	return ag.socket.Send(datagram, ro.balancer)
+	return ag.socket.Send(datagram, way.balancer)
 }
 
 // labeler makes the connection IDs of the QUIC server.
--- a/internal/transport/agent/relay.go
+++ b/internal/transport/agent/relay.go
@@ -30,24 +30,24 @@
 type relay struct {
 	queue  chan *inbound
 	pool   sync.Pool
-	send   func(payload []byte, caller netip.AddrPort, ro route) error
+	send   func(payload []byte, caller netip.AddrPort, way wayBack) error
 	local  netip.AddrPort
 	closed chan struct{}
 	once   sync.Once
 
 	mu       sync.Mutex
 	deadline chan struct{}
-	routes   map[netip.AddrPort]route
-	former   map[netip.AddrPort]route
+	routes   map[netip.AddrPort]wayBack
+	former   map[netip.AddrPort]wayBack
 }
 
-// route is the way back to a caller.
-type route struct {
+// wayBack is how an answer reaches a caller.
+type wayBack struct {
 	balancer netip.AddrPort
 	entry    uint8
 }
 
-func newRelay(local netip.AddrPort, send func([]byte, netip.AddrPort, route) error) *relay {
+func newRelay(local netip.AddrPort, send func([]byte, netip.AddrPort, wayBack) error) *relay {
 	return &relay{
 		queue:    make(chan *inbound, relayQueue),
 		pool:     sync.Pool{New: func() any { return new(inbound) }},
@@ -55,14 +55,14 @@
 		local:    local,
 		closed:   make(chan struct{}),
 		deadline: make(chan struct{}),
-		routes:   make(map[netip.AddrPort]route),
+		routes:   make(map[netip.AddrPort]wayBack),
 	}
 }
 
 // push hands a datagram to the QUIC server. It returns false when the queue is
 // full; QUIC repeats what is lost.
-func (re *relay) push(caller netip.AddrPort, ro route, payload []byte) bool {
-	re.learn(caller, ro)
+func (re *relay) push(caller netip.AddrPort, way wayBack, payload []byte) bool {
+	re.learn(caller, way)
 	in := re.pool.Get().(*inbound)
 	in.caller = caller
 	in.length = copy(in.data[:], payload)
@@ -75,24 +75,24 @@
 	}
 }
 
-func (re *relay) learn(caller netip.AddrPort, ro route) {
+func (re *relay) learn(caller netip.AddrPort, way wayBack) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	if len(re.routes) >= routeGeneration {
 		re.former = re.routes
-		re.routes = make(map[netip.AddrPort]route)
+		re.routes = make(map[netip.AddrPort]wayBack)
 	}
-	re.routes[caller] = ro
+	re.routes[caller] = way
 }
 
-func (re *relay) routeTo(caller netip.AddrPort) (route, bool) {
+func (re *relay) routeTo(caller netip.AddrPort) (wayBack, bool) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	ro, ok := re.routes[caller]
+	way, ok := re.routes[caller]
 	if !ok {
-		ro, ok = re.former[caller]
+		way, ok = re.former[caller]
 	}
-	return ro, ok
+	return way, ok
 }
 
 // ReadFrom reads the next accepted datagram.
@@ -121,11 +121,11 @@
 	}
 	ap := ua.AddrPort()
 	caller := netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
-	ro, ok := re.routeTo(caller)
+	way, ok := re.routeTo(caller)
 	if !ok {
 		return len(payload), nil
 	}
-	if err := re.send(payload, caller, ro); err != nil {
+	if err := re.send(payload, caller, way); err != nil {
 		return 0, err
 	}
 	return len(payload), nil
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -28,10 +29,6 @@
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
-// quietBeforeStop is how long no datagram may arrive before a stopping
-// balancer is sure that the fabric has withdrawn it.
-const quietBeforeStop = 500 * time.Millisecond
-
 // Config is what a balancer needs to run.
 type Config struct {
 	settings.Balancer
@@ -50,7 +47,9 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	addresses atomic.Pointer[addresses]
-	steer     atomic.Pointer[Steer]
+	table     atomic.Pointer[route.Table]
+	// tableMu orders the writers of table.
+	tableMu   sync.Mutex
 	directory *directory
 	entrances *entrances
 	counts    counts
@@ -60,7 +59,7 @@
 
 // counts are the metrics of the hot path.
 type counts struct {
-	forwarded, answered, malformed, unknownService, wrongService, noHost, sendFailed metrics.Counter
+	forwarded, answered, malformed, unknownService, wrongService, noHost, hostLeft, sendFailed metrics.Counter
 }
 
 func newCounts(bo *gauge.Board) counts {
@@ -71,6 +70,7 @@
 		unknownService: bo.Counter("DatagramsUnknownService"),
 		wrongService:   bo.Counter("DatagramsWrongService"),
 		noHost:         bo.Counter("DatagramsNoHost"),
+		hostLeft:       bo.Counter("DatagramsHostLeft"),
 		sendFailed:     bo.Counter("DatagramsSendFailed"),
 	}
 }
@@ -93,7 +93,7 @@
 	}
 	ba.answers = ba.hosts.Address()
 	ba.Apply(configurationOf(cfg.Services))
-	ba.directory.rebuild()
+	ba.table.Store(route.NewTable(route.KeyOf(cfg.Material.Secret()), time.Now(), nil))
 	mux := link.NewMux()
 	ba.directory.register(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
@@ -183,18 +183,8 @@
 func (ba *Balancer) drain(deadline time.Time) {
 	ba.cfg.Board.SetReady(false)
 	klog.InfoS("Balancer stopping", "Deadline", deadline)
-	last := ba.traffic()
-	quietAt := time.Now().Add(quietBeforeStop)
-	ticker := time.NewTicker(quietBeforeStop / 10)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if now.After(deadline) || now.After(quietAt) {
-			return
-		}
-		if traffic := ba.traffic(); traffic != last {
-			last = traffic
-			quietAt = now.Add(quietBeforeStop)
-		}
+	if !socket.AwaitQuiet(ba.traffic, deadline) {
+		klog.InfoS("Balancer stopped while datagrams still arrive", "Hosts", ba.Hosts())
 	}
 }
 
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -52,7 +50,7 @@
 	}
 	di.mu.Unlock()
 	if newer {
-		di.rebuild()
+		di.advance(now, []register.Host{ho})
 	}
 }
 
@@ -71,47 +69,35 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if di.expire(now) {
-				di.rebuild()
-			}
+			di.advance(now, di.expire(now))
 		}
 	}
 }
 
-func (di *directory) expire(now time.Time) bool {
+// expire returns the records of the hosts that have fallen silent, as Gone.
+func (di *directory) expire(now time.Time) []register.Host {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	changed := false
+	var gone []register.Host
 	for address, kn := range di.hosts {
 		if now.After(kn.deadline) {
 			delete(di.hosts, address)
-			changed = true
+			kn.host.State = register.StateGone
+			kn.host.Sequence++
+			gone = append(gone, kn.host)
 		}
 	}
-	return changed
+	return gone
 }
 
-// rebuild puts a steering function over the present hosts in force.
-func (di *directory) rebuild() {
-	di.mu.Lock()
-	byService := make(map[register.ServiceID][]register.Host)
-	for _, kn := range di.hosts {
-		if kn.host.State.TakesNewWork() {
-			byService[kn.host.Service] = append(byService[kn.host.Service], kn.host)
-		}
-	}
-	di.mu.Unlock()
-	for _, hosts := range byService {
-		slices.SortFunc(hosts, func(a, b register.Host) int { return a.Address.Compare(b.Address) })
+// advance puts the table after the announced records in force.
+func (di *directory) advance(now time.Time, announced []register.Host) {
+	ba := di.balancer
+	ba.tableMu.Lock()
+	defer ba.tableMu.Unlock()
+	ta := ba.table.Load()
+	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
+	if len(announced) > 0 || due {
+		ba.table.Store(ta.Next(now, announced))
 	}
-	steer := Steer(func(sv register.ServiceID, caller netip.AddrPort, chain *[envelope.MaxChain]envelope.Hop) uint8 {
-		hosts := byService[sv]
-		if len(hosts) == 0 {
-			return 0
-		}
-		ho := hosts[int(caller.Port())%len(hosts)]
-		chain[0] = envelope.Hop{Address: ho.Address, Incarnation: uint16(ho.Incarnation)}
-		return 1
-	})
-	di.balancer.steer.Store(&steer)
 }
--- a/internal/transport/balancer/forward.go
+++ b/internal/transport/balancer/forward.go
@@ -5,9 +5,11 @@
 
 	"github.com/go-faster/errors"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/frame"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
@@ -51,11 +53,10 @@
 	}
 	fo.envelope = envelope.Envelope{
 		Kind:     envelope.KindToHost,
-		Service:  place.service,
 		Entry:    place.index,
 		Version:  uint32(ad.version.Number),
-		Caller:   he.Caller,
 		Balancer: ba.answers,
+		Header:   route.Header{Service: place.service, Caller: he.Caller},
 	}
 	if fo.aim(packet) {
 		fo.send(wo, payload)
@@ -65,28 +66,45 @@
 // aim fills the chain. It returns false for a packet that must be dropped.
 func (fo *forwarder) aim(packet label.Packet) bool {
 	ba, en := fo.balancer, &fo.envelope
+	ta := ba.table.Load()
 	if pl, ok := fo.decoder.Decode(packet.Destination); ok {
 		if pl.Service != en.Service {
 			ba.counts.wrongService.Inc(1)
 			return false
 		}
-		en.Chain[0] = envelope.Hop{Address: pl.Host, Incarnation: pl.Incarnation}
-		en.Count = 1
-		return true
-	}
-	if !packet.Long {
+		if !left(ta, pl) {
+			en.Chain = route.Chain{Count: 1, Asked: 1}
+			en.Chain.Hosts[0] = route.Candidate{Address: pl.Host, Incarnation: uint64(pl.Incarnation)}
+			return true
+		}
+		ba.counts.hostLeft.Inc(1)
+	} else if !packet.Long {
 		ba.counts.malformed.Inc(1)
 		return false
 	}
-	steer := ba.steer.Load()
-	en.Count = (*steer)(en.Service, en.Caller, &en.Chain)
-	if en.Count == 0 {
+	en.Chain = ta.Candidates(en.Service, en.Caller)
+	if en.Chain.Count == 0 {
 		ba.counts.noHost.Inc(1)
 		return false
 	}
 	return true
 }
 
+// left reports whether the host that a connection ID names is known to have
+// stopped for good or to have started again. Any agent may then end the flow.
+func left(ta *route.Table, pl label.Place) bool {
+	_, re := ta.Resolve(pl.Service, pl.Host, pl.Incarnation)
+	switch re {
+	case route.ReasonStaleIncarnation, route.ReasonWrongService:
+		return true
+	case route.ReasonUnknownTarget:
+		ho, known := ta.Locate(pl.Host)
+		return known && ho.State == register.StateGone
+	default:
+		return false
+	}
+}
+
 func (fo *forwarder) send(wo *socket.Worker, payload []byte) {
 	ba, en := fo.balancer, &fo.envelope
 	datagram, err := ba.envelopes.Append(wo.Scratch[:0], en, payload)
@@ -94,7 +112,7 @@
 		ba.counts.malformed.Inc(1)
 		return
 	}
-	if err := wo.Send(datagram, en.Chain[0].Address); err != nil {
+	if err := wo.Send(datagram, en.Chain.Hosts[0].Address); err != nil {
 		ba.counts.sendFailed.Inc(1)
 		return
 	}
--- a/internal/transport/balancer/forward_bench_test.go
+++ b/internal/transport/balancer/forward_bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/frame"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
@@ -149,7 +150,7 @@
 		b.ReportAllocs()
 		for b.Loop() {
 			packet, _ := label.Parse(payload)
-			fo.envelope = envelope.Envelope{Service: benchService}
+			fo.envelope = envelope.Envelope{Header: route.Header{Service: benchService}}
 			if !fo.aim(packet) {
 				b.Fatal("dropped")
 			}
@@ -169,7 +170,7 @@
 		caller := netip.MustParseAddrPort("198.51.100.7:4000")
 		b.ReportAllocs()
 		for b.Loop() {
-			fo.envelope = envelope.Envelope{Service: benchService, Caller: caller}
+			fo.envelope = envelope.Envelope{Header: route.Header{Service: benchService, Caller: caller}}
 			if !fo.aim(first) {
 				b.Fatal("dropped")
 			}
--- a/internal/transport/balancer/plan.go
+++ b/internal/transport/balancer/plan.go
@@ -45,6 +45,3 @@
 	}
 	return list[en.Entry], true
 }
-
-// Steer fills the candidate chain for a caller's new flow and returns its length.
-type Steer func(sv register.ServiceID, caller netip.AddrPort, chain *[envelope.MaxChain]envelope.Hop) uint8
