--- /dev/null
+++ b/internal/transport/agent/agent.go
@@ -0,0 +1,279 @@
+// Package agent is the shell of the small process beside a backend server: it
+// ends the callers' QUIC connections, hands their requests to the backend
+// server and announces the host.
+//
+// # Usage
+//
+//	ag, err := agent.Open(ctx, cfg)
+//	err = ag.Run(ctx)
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/route"
+	"corneltiller.dev/corneltiller/internal/protocol/envelope"
+	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+	"corneltiller.dev/corneltiller/internal/state/register"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+	"corneltiller.dev/corneltiller/internal/transport/keys"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+	"corneltiller.dev/corneltiller/internal/transport/socket"
+)
+
+const (
+	announceEvery   = 500 * time.Millisecond
+	announceTimeout = time.Second
+	// idleTimeout ends flows whose caller has vanished.
+	idleTimeout = 60 * time.Second
+	// maxFlows bounds the flows that the agent knows, its own and others'.
+	maxFlows = 1 << 17
+	// initialPacketSize leaves room for the envelope on a path of 1,280 bytes.
+	initialPacketSize = 1200
+)
+
+// Config is what an agent needs to run.
+type Config struct {
+	settings.Agent
+	Material *keys.Store
+	Board    *gauge.Board
+}
+
+// Agent serves one backend server.
+type Agent struct {
+	cfg       Config
+	service   register.ServiceID
+	labels    *label.Codec
+	envelopes *envelope.Codec
+	socket    *socket.Socket
+	relay     *relay
+	transport *quic.Transport
+	server    *http3.Server
+	control   *link.Listener
+	metrics   *link.Listener
+	pool      *link.Pool
+	backend   *http.Client
+	abortOnce sync.Once
+	aborted   chan struct{}
+	counts    counts
+	// connections is the number of open flows.
+	connections atomic.Int64
+
+	// Lock order: mu before flowsMu.
+	mu      sync.Mutex
+	record  register.Host
+	flowsMu sync.Mutex
+	flows   *route.FlowTable
+}
+
+// Open takes the agent's addresses.
+func Open(ctx context.Context, cfg Config) (*Agent, error) {
+	ag := &Agent{
+		cfg:       cfg,
+		service:   register.ServiceID(cfg.Service),
+		envelopes: envelope.NewCodec(cfg.Material.Secret()),
+		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
+		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
+		aborted:   make(chan struct{}),
+		counts:    newCounts(cfg.Board),
+	}
+	var err error
+	if ag.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
+		return nil, err
+	}
+	if ag.socket, err = socket.Listen(ctx, cfg.Datagrams, cfg.Workers); err != nil {
+		return nil, err
+	}
+	srv := &link.Server{Mux: link.NewMux(), Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	if ag.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
+		return nil, err
+	}
+	if ag.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
+		return nil, err
+	}
+	ag.record = register.Host{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1},
+		Address:  ag.socket.Address(),
+		Control:  ag.control.Address(),
+		Service:  ag.service,
+		Domain:   cfg.Domain,
+		State:    register.StateReady,
+		Weight:   register.FullWeight,
+	}
+	ag.flows = route.NewFlowTable(ag.record, route.KeyOf(cfg.Material.Secret()), time.Now(), maxFlows)
+	ag.openServer()
+	return ag, nil
+}
+
+func (ag *Agent) openServer() {
+	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
+	la := &labeler{
+		codec: ag.labels,
+		place: label.Place{Service: ag.service, Host: ag.record.Address, Incarnation: uint16(ag.record.Incarnation)},
+	}
+	la.last.Store(startNonce())
+	ag.transport = &quic.Transport{
+		Conn:                  ag.relay,
+		ConnectionIDGenerator: la,
+		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
+	}
+	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+}
+
+// countConnection tells the flow table how many flows are open.
+func (ag *Agent) countConnection(ctx context.Context, co *quic.Conn) context.Context {
+	ag.setConnections(ag.connections.Add(1))
+	context.AfterFunc(co.Context(), func() { ag.setConnections(ag.connections.Add(-1)) })
+	return ctx
+}
+
+func (ag *Agent) setConnections(count int64) {
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetConnections(int(count))
+}
+
+// resetKey returns the key of the stateless reset tokens (RFC 9000, section
+// 10.3). All agents of a deployment share it, so that any of them can end a
+// flow whose host is gone.
+func resetKey(secret []byte) *quic.StatelessResetKey {
+	key := quic.StatelessResetKey(sha256.Sum256(append([]byte("corneltiller stateless reset "), secret...)))
+	return &key
+}
+
+// Datagrams returns the address for enveloped datagrams.
+func (ag *Agent) Datagrams() netip.AddrPort { return ag.record.Address }
+
+// Control returns the address for links.
+func (ag *Agent) Control() netip.AddrPort { return ag.control.Address() }
+
+// Metrics returns the address of metrics and readiness.
+func (ag *Agent) Metrics() netip.AddrPort { return ag.metrics.Address() }
+
+// Run serves until the context ends, then drains.
+func (ag *Agent) Run(ctx context.Context) error {
+	klog.InfoS("Agent started", "Service", ag.service, "Datagrams", ag.Datagrams(), "Control", ag.Control(), "Metrics", ag.Metrics())
+	listener, err := ag.transport.ListenEarly(http3.ConfigureTLSConfig(ag.cfg.Material.CallerTLS()), &quic.Config{
+		MaxIdleTimeout:    idleTimeout,
+		InitialPacketSize: initialPacketSize,
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	eg, serving := errgroup.WithContext(serving)
+	eg.Go(func() error {
+		return ag.socket.ServeEach(func() socket.Handler { return ag.newReceiver().fromNetwork })
+	})
+	eg.Go(func() error { return ag.control.Run(serving) })
+	eg.Go(func() error { return ag.metrics.Run(serving) })
+	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error {
+		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	ag.cfg.Board.SetReady(true)
+
+	select {
+	case <-ctx.Done():
+		ag.drain(time.Now().Add(time.Duration(ag.cfg.StopWithin)))
+	case <-ag.aborted:
+		ag.socket.Close()
+	case <-serving.Done():
+	}
+	stop()
+	ag.server.Close()
+	ag.transport.Close()
+	ag.relay.Close()
+	ag.socket.Close()
+	ag.pool.Close()
+	err = eg.Wait()
+	klog.InfoS("Agent stopped", "Datagrams", ag.Datagrams())
+	return err
+}
+
+// Abort ends Run at once, as a crash would.
+func (ag *Agent) Abort() {
+	ag.abortOnce.Do(func() { close(ag.aborted) })
+}
+
+// drain announces that the host leaves, and waits until the open requests have
+// ended, at most until the deadline.
+func (ag *Agent) drain(deadline time.Time) {
+	ag.cfg.Board.SetReady(false)
+	klog.InfoS("Agent stopping", "Deadline", deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ag.advance(register.StateDraining)
+	ag.announceOnce(ctx)
+	if err := ag.server.Shutdown(ctx); err != nil {
+		klog.InfoS("Agent stopped with open requests", "Err", err)
+	}
+	// New flows come here until the last balancer knows that the host leaves.
+	socket.AwaitQuiet(ag.traffic, deadline)
+	ag.advance(register.StateGone)
+	ag.announceOnce(ctx)
+}
+
+// traffic returns the number of callers' datagrams taken so far.
+func (ag *Agent) traffic() int64 {
+	return ag.counts.accepted.Count() + ag.counts.passed.Count()
+}
+
+func (ag *Agent) advance(st register.State) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	ag.record.State = st
+	ag.record.Sequence++
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetSelf(ag.record)
+}
+
+func (ag *Agent) announce(ctx context.Context) error {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	for {
+		ag.announceOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// announceOnce sends the host's record to every seed.
+func (ag *Agent) announceOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	ag.mu.Lock()
+	record := ag.record
+	ag.mu.Unlock()
+	var pending sync.WaitGroup
+	for _, seed := range ag.cfg.Seeds {
+		pending.Go(func() {
+			if err := ag.pool.Send(ctx, seed, message.KindAnnounce, record); err != nil {
+				klog.V(1).InfoS("Announcement failed", "Peer", seed, "Err", err)
+			}
+		})
+	}
+	pending.Wait()
+}
