--- a/internal/coordination/dispatch/desk.go
+++ b/internal/coordination/dispatch/desk.go
@@ -166,6 +166,13 @@
 	return de.meter.load()
 }
 
+// Holds reports whether the request may still be executed, relayed or
+// delegated, or an execution of it may still end.
+func (de *Desk) Holds(id RequestID) bool {
+	_, ok := de.jobs[id]
+	return ok
+}
+
 // Overloaded reports whether deferrable requests are being shed.
 func (de *Desk) Overloaded(now time.Time) bool {
 	return de.shedder.overloaded(now)
--- a/internal/coordination/dispatch/drain.go
+++ b/internal/coordination/dispatch/drain.go
@@ -151,13 +151,13 @@
 func (de *Desk) finish() {
 	dr := &de.drain
 	dr.stopped = true
-	cut := len(de.jobs)
+	cut, adopted := len(de.jobs), !dr.behind()
 	for _, id := range slices.Sorted(maps.Keys(de.jobs)) {
 		if jo, ok := de.jobs[id]; ok {
 			de.cut(jo)
 		}
 	}
-	de.emit(Stopped{Cut: cut, Adopted: !dr.behind()})
+	de.emit(Stopped{Cut: cut, Adopted: adopted})
 }
 
 // cut ends a job that the operator's deadline overtook.
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -43,6 +43,7 @@
 type Caller struct {
 	cfg       Config
 	transport *http3.Transport
+	tickets   *Tickets
 }
 
 // Open returns a caller that connects with its first request.
@@ -57,6 +58,7 @@
 		},
 		Dial: ca.dial,
 	}
+	ca.tickets = &Tickets{Next: ca.transport}
 	return ca
 }
 
@@ -66,14 +68,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if ca.cfg.Ended != nil {
-		context.AfterFunc(co.Context(), func() { ca.ended(context.Cause(co.Context())) })
-	}
+	context.AfterFunc(co.Context(), func() { ca.ended(context.Cause(co.Context())) })
 	return co, nil
 }
 
 // ended reports the end of a flow unless this side asked for it.
 func (ca *Caller) ended(err error) {
+	ca.tickets.Forget()
+	if ca.cfg.Ended == nil {
+		return
+	}
 	var ae *quic.ApplicationError
 	if errors.As(err, &ae) && !ae.Remote {
 		return
@@ -88,11 +92,12 @@
 	return errors.As(err, &ae) && ae.Remote && http3.ErrCode(ae.ErrorCode) == http3.ErrCodeNoError
 }
 
-// Do sends a request, whose URL needs only a path, and returns the answer.
+// Do sends a request, whose URL needs only a path, and returns the answer. It
+// gets and repeats the tickets of unrepeatable requests by itself.
 func (ca *Caller) Do(re *http.Request) (*http.Response, error) {
 	re.URL.Scheme = "https"
 	re.URL.Host = ca.cfg.Service.String()
-	answer, err := ca.transport.RoundTrip(re)
+	answer, err := ca.tickets.RoundTrip(re)
 	if err != nil {
 		return nil, errors.Wrapf(err, "call %s", ca.cfg.Service)
 	}
--- /dev/null
+++ b/internal/transport/caller/tickets.go
@@ -0,0 +1,180 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/coordination/dispatch"
+	"corneltiller.dev/corneltiller/internal/protocol/outcome"
+	"corneltiller.dev/corneltiller/internal/protocol/ticket"
+	"corneltiller.dev/corneltiller/internal/state/ledger"
+)
+
+// The handling of tickets.
+const (
+	// ticketLife is how long an unused ticket is kept.
+	ticketLife = time.Minute
+	// ticketLimit bounds the tickets that are kept.
+	ticketLimit = 16
+	// attemptLimit bounds how often one request is sent.
+	attemptLimit = 5
+	// repeatDelay is the time before a request is sent again after an error.
+	repeatDelay = 100 * time.Millisecond
+)
+
+// Tickets is an http.RoundTripper that sends unrepeatable requests with a
+// ticket. A request that was refused for its ticket is sent with a fresh one;
+// a request whose answer was lost is sent again with the same ticket, so that
+// it runs at most once. It is safe for concurrent use.
+type Tickets struct {
+	// Next sends the requests.
+	Next http.RoundTripper
+
+	mu   sync.Mutex
+	kept []keptTicket
+}
+
+// keptTicket is an unused ticket.
+type keptTicket struct {
+	token  string
+	expiry time.Time
+}
+
+// RoundTrip sends a request and returns the answer.
+func (ti *Tickets) RoundTrip(re *http.Request) (*http.Response, error) {
+	at, err := outcome.Parse(time.Now(), re.Method, re.Header)
+	if err != nil {
+		return nil, errors.Wrap(err, "read request header")
+	}
+	if deadline, ok := re.Context().Deadline(); ok && re.Header.Get(outcome.HeaderTimeout) == "" {
+		re = re.Clone(re.Context())
+		remaining := max(1, time.Until(deadline).Milliseconds())
+		re.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(remaining, 10))
+	}
+	if at.Repeatable || at.Token != "" {
+		answer, err := ti.Next.RoundTrip(re)
+		ti.learn(answer)
+		return answer, err
+	}
+	return ti.sendOnce(re)
+}
+
+// Forget drops all unused tickets, because the agent that issued them is
+// likely gone.
+func (ti *Tickets) Forget() {
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	ti.kept = nil
+}
+
+// sendOnce sends an unrepeatable request until it has an outcome.
+func (ti *Tickets) sendOnce(re *http.Request) (*http.Response, error) {
+	var body []byte
+	if re.Body != nil {
+		var err error
+		body, err = io.ReadAll(re.Body)
+		re.Body.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, "read request body")
+		}
+	}
+	token := ti.take()
+	for attempt := 1; ; attempt++ {
+		answer, err := ti.Next.RoundTrip(withTicket(re, body, token))
+		ti.learn(answer)
+		switch {
+		case attempt == attemptLimit || re.Context().Err() != nil:
+			return answer, err
+		case err != nil:
+			// The first attempt of a flow may find its agent gone. Without
+			// a ticket nothing ran.
+			if !pause(re) {
+				return nil, err
+			}
+		case refusedForTicket(answer):
+			next := ti.take()
+			if next == "" {
+				return answer, nil
+			}
+			answer.Body.Close()
+			token = next
+		default:
+			return answer, nil
+		}
+	}
+}
+
+// withTicket returns a copy of the request with the body and the ticket.
+func withTicket(re *http.Request, body []byte, token string) *http.Request {
+	out := re.Clone(re.Context())
+	out.Body = io.NopCloser(bytes.NewReader(body))
+	out.ContentLength = int64(len(body))
+	if token != "" {
+		out.Header.Set(ticket.Header, token)
+	}
+	return out
+}
+
+// refusedForTicket reports whether the request did not run and may run with
+// another ticket.
+func refusedForTicket(answer *http.Response) bool {
+	if ou, ok := outcome.Read(answer.Header); !ok || ou != ledger.NotRun {
+		return false
+	}
+	switch answer.Header.Get(outcome.HeaderReason) {
+	case dispatch.ReasonTicketRequired.String(), dispatch.ReasonTicketRefused.String():
+		return true
+	default:
+		return false
+	}
+}
+
+// pause waits before a repeat. It reports false if the request was canceled.
+func pause(re *http.Request) bool {
+	timer := time.NewTimer(repeatDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-re.Context().Done():
+		return false
+	}
+}
+
+// learn keeps the fresh ticket of an answer.
+func (ti *Tickets) learn(answer *http.Response) {
+	if answer == nil || answer.Header.Get(ticket.Header) == "" {
+		return
+	}
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	ti.kept = append(ti.kept, keptTicket{
+		token:  answer.Header.Get(ticket.Header),
+		expiry: time.Now().Add(ticketLife),
+	})
+	if len(ti.kept) > ticketLimit {
+		ti.kept = ti.kept[1:]
+	}
+}
+
+// take returns the latest unused ticket, or an empty token.
+func (ti *Tickets) take() string {
+	ti.mu.Lock()
+	defer ti.mu.Unlock()
+	if len(ti.kept) == 0 {
+		return ""
+	}
+	last := ti.kept[len(ti.kept)-1]
+	ti.kept = ti.kept[:len(ti.kept)-1]
+	if time.Now().After(last.expiry) {
+		ti.kept = nil
+		return ""
+	}
+	return last.token
+}
