feat: ctl, the operators' console, and followers in balancers and agents

A follower runs the rollout core in each balancer and agent. Balancers read the store when their role asks for it; agents ask balancers. Balancers take services, addresses, host ranges and draining from the accepted configuration; the services of the settings hold until the first one.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -94,6 +94,7 @@
 		balancerCommand(),
 		agentCommand(),
 		callCommand(),
+		ctlCommand(),
 		demoCommand(),
 		standinCommand(),
 		versionCommand(),
--- a/internal/coordination/change/commit.go
+++ b/internal/coordination/change/commit.go
@@ -327,7 +327,7 @@
 }
 
 // ErrNoSay says that the owner may not change the configuration now.
-var ErrNoSay = errors.New("the say is another's")
+var ErrNoSay = errors.New("no authority to change the configuration")
 
 // edited returns the configuration after the edits, checked.
 func (co *Commit) edited(before *catalog.Configuration, asked time.Time) (*catalog.Configuration, error) {
@@ -375,7 +375,7 @@
 		after.Say.Owner = co.request.Owner
 		return nil
 	default:
-		return errors.Wrapf(ErrNoSay, "%s holds it until %s", before.Say.Owner, before.Say.Until.Format(time.RFC3339))
+		return errors.Wrapf(ErrNoSay, "%s holds the say until %s", before.Say.Owner, before.Say.Until.Format(time.RFC3339))
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/change/inquiry.go
@@ -0,0 +1,133 @@
+package change
+
+import (
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+// Inquiry is the decision core that finds out what became of a change whose
+// outcome was unknown. Only if it settles does it write: it raises the fence of
+// a root that the change could still follow, after which the change can't take
+// effect any more.
+type Inquiry struct {
+	caller
+	identity Identity
+	base     catalog.Version
+	settle   bool
+	step     step
+	done     bool
+	fate     Fate
+	entry    Entry
+	err      error
+}
+
+// NewInquiry returns an inquiry about the change. It returns an error for text
+// that is no identity.
+func NewInquiry(identity Identity, settle bool) (*Inquiry, error) {
+	base, err := identity.Base()
+	if err != nil {
+		return nil, err
+	}
+	return &Inquiry{identity: identity, base: base, settle: settle}, nil
+}
+
+// Done reports whether the inquiry has ended.
+func (in *Inquiry) Done() bool {
+	return in.done
+}
+
+// Fate returns what became of the change, with its entry if it was accepted.
+func (in *Inquiry) Fate() (Fate, Entry, error) {
+	return in.fate, in.entry, in.err
+}
+
+func (in *Inquiry) end(fate Fate, err error) []archive.Call {
+	in.done = true
+	in.fate, in.err = fate, err
+	return nil
+}
+
+// Start returns the first call.
+func (in *Inquiry) Start(time.Time) []archive.Call {
+	in.step = stepRoot
+	return []archive.Call{in.read(RootName)}
+}
+
+// Handle takes the answer to one call and returns the next calls.
+func (in *Inquiry) Handle(now time.Time, an archive.Answer) []archive.Call {
+	if in.done || !in.taken(an) {
+		return nil
+	}
+	if in.step == stepFence {
+		return in.fenced(now, an)
+	}
+	switch {
+	case an.Result == archive.ResultNotFound && in.step == stepRoot:
+		return in.end(FateBehind, nil)
+	case an.Result == archive.ResultNotFound:
+		return in.end(FateForgotten, nil)
+	case an.Result != archive.ResultDone:
+		return in.end(FatePending, ErrUnreachable)
+	case in.step == stepPage:
+		return in.pageRead(an)
+	}
+	return in.rootRead(an)
+}
+
+func (in *Inquiry) rootRead(an archive.Answer) []archive.Call {
+	ro, err := DecodeRoot(an.Object.Value)
+	if err != nil {
+		return in.end(FatePending, err)
+	}
+	fate := ro.FateOf(in.identity, in.base)
+	switch {
+	case fate == FatePending && in.settle:
+		in.step = stepFence
+		ob := archive.Object{Name: RootName, Version: an.Object.Version, Value: fenceRoot(ro, in.identity).Encode()}
+		return []archive.Call{in.call(archive.KindPut, ob)}
+	case fate == FateForgotten:
+		return in.readPage(ro)
+	}
+	in.find(ro.History)
+	return in.end(fate, nil)
+}
+
+func (in *Inquiry) readPage(ro *Root) []archive.Call {
+	pa, ok := ro.page(in.base)
+	if !ok {
+		return in.end(FateForgotten, nil)
+	}
+	in.step = stepPage
+	return []archive.Call{in.read(pa.Name)}
+}
+
+func (in *Inquiry) pageRead(an archive.Answer) []archive.Call {
+	history, err := DecodePage(an.Object.Value)
+	if err != nil {
+		return in.end(FateForgotten, err)
+	}
+	in.find(history)
+	return in.end(fateIn(history, in.identity, in.base), nil)
+}
+
+func (in *Inquiry) find(history []Entry) {
+	for _, en := range history {
+		if en.Identity == in.identity {
+			in.entry = en
+		}
+	}
+}
+
+// fenced ends with a raised fence; otherwise the root is read again.
+func (in *Inquiry) fenced(now time.Time, an archive.Answer) []archive.Call {
+	switch an.Result {
+	case archive.ResultDone:
+		return in.end(FateNever, nil)
+	case archive.ResultConflict, archive.ResultUnanswered:
+		return in.Start(now)
+	default:
+		return in.end(FatePending, ErrUnreachable)
+	}
+}
--- a/internal/coordination/rollout/donation.go
+++ b/internal/coordination/rollout/donation.go
@@ -93,6 +93,16 @@
 	return nil
 }
 
+// Poll asks a random peer for whatever is newer, for instances that gossip does
+// not reach.
+func (re *Reader) Poll() []Action {
+	peer, ok := re.peer()
+	if !ok {
+		return nil
+	}
+	return []Action{{Kind: ActionAsk, Peer: peer, Question: Question{Have: re.state.Version()}}}
+}
+
 // Donated takes a peer's answer to a question.
 func (re *Reader) Donated(now time.Time, from netip.AddrPort, do Donation) []Action {
 	var actions []Action
--- a/internal/protocol/command/command.go
+++ b/internal/protocol/command/command.go
@@ -40,7 +40,9 @@
 	DryRun   bool `parser:"| @'DRY' 'RUN'"`
 	Help     bool `parser:"| @'HELP'"`
 	// Reinstate puts the version in force back into a store that went back.
-	Reinstate  bool        `parser:"| @'REINSTATE'"`
+	Reinstate bool `parser:"| @'REINSTATE'"`
+	// Settle fences a change whose outcome was unknown.
+	Settle     string      `parser:"| 'SETTLE' 'CHANGE' @(Word|String)"`
 	Initialize *Initialize `parser:"| @@"`
 	Show       *Show       `parser:"| 'SHOW' @@"`
 	Explain    *Explain    `parser:"| 'EXPLAIN' @@"`
--- /dev/null
+++ b/internal/protocol/command/status.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// Query is the console's question to a balancer or an agent.
+type Query struct {
+	// Records asks for the records of hosts and balancers too.
+	Records bool
+}
+
+// Status is the answer of a balancer or an agent.
+type Status struct {
+	// Version is what the process has in force.
+	Version catalog.Version
+	// InForce sums up the fleet, as far as the process knows.
+	InForce rollout.Report
+	// Expected is the number of live instances.
+	Expected  int
+	Hosts     []register.Host     `cbor:",omitempty"`
+	Balancers []register.Balancer `cbor:",omitempty"`
+	// Flows is the number of open flows of an agent.
+	Flows int `cbor:",omitempty"`
+	// DatagramsForwarded and DatagramsAnswered are a balancer's counts since
+	// its start.
+	DatagramsForwarded int64 `cbor:",omitempty"`
+	DatagramsAnswered  int64 `cbor:",omitempty"`
+}
--- a/internal/protocol/message/message.go
+++ b/internal/protocol/message/message.go
@@ -36,6 +36,12 @@
 	KindQuery
 	// KindBalancers asks for the balancers that a peer knows.
 	KindBalancers
+	// KindConfiguration asks a peer for a newer configuration.
+	KindConfiguration
+	// KindReport carries which versions a part of the fleet has in force.
+	KindReport
+	// KindItem carries an item of the rollout where there is no gossip.
+	KindItem
 )
 
 // MaxLength is the largest length of an encoded message in bytes.
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -44,6 +44,9 @@
 	portsPerInstance  = 10
 
 	stopWithin   = settings.Duration(20 * time.Second)
+	ownerName    = "glenrug"
+	ownerKeyFile = "glenrug.pem"
+
 	settingsMode = 0o600
 	folderMode   = 0o700
 )
@@ -58,6 +61,8 @@
 	Balancers []settings.Balancer
 	Agents    []settings.Agent
 	Backends  []backend.Settings
+	// Console is for an operator, whose key it names but does not hold.
+	Console settings.Console
 }
 
 // platformSettings are the settings of the platform's stand-in.
@@ -107,6 +112,13 @@
 		fl.Balancers = append(fl.Balancers, ba)
 		fl.Fabric.Balancers = append(fl.Fabric.Balancers, fabric.Target{Callers: ba.Callers, Metrics: ba.Metrics})
 	}
+	fl.Console = settings.Console{
+		Platform:  fl.Platform,
+		Balancers: seeds,
+		Owner:     ownerName,
+		OwnerKey:  filepath.Join(filepath.Dir(paths.Key), ownerKeyFile),
+		Keys:      settings.Keys(paths),
+	}
 	for i := range yardlineHosts + ledgerwashHosts {
 		sv := services[0]
 		if i >= yardlineHosts {
@@ -172,6 +184,7 @@
 		wr.add(fmt.Sprintf("agent-%d", i), ag, "agent")
 	}
 	wr.add("fabric", fl.Fabric, "standin", "fabric")
+	wr.write("console", fl.Console)
 	return wr.processes, wr.err
 }
 
@@ -182,20 +195,26 @@
 	err       error
 }
 
+// add writes the settings of a process to start.
 func (wr *writer) add(name string, value any, command ...string) {
+	path := wr.write(name, value)
+	arguments := append(append([]string(nil), command...), "--settings", path)
+	wr.processes = append(wr.processes, Process{Name: name, Arguments: arguments})
+}
+
+// write writes one settings file and returns its path.
+func (wr *writer) write(name string, value any) string {
+	path := filepath.Join(wr.folder, name+".json")
 	if wr.err != nil {
-		return
+		return path
 	}
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		wr.err = errors.Wrapf(err, "encode settings of %s", name)
-		return
+		return path
 	}
-	path := filepath.Join(wr.folder, name+".json")
 	if err := os.WriteFile(path, append(data, '\n'), settingsMode); err != nil {
 		wr.err = errors.Wrapf(err, "write settings of %s", name)
-		return
 	}
-	arguments := append(append([]string(nil), command...), "--settings", path)
-	wr.processes = append(wr.processes, Process{Name: name, Arguments: arguments})
+	return path
 }
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -61,6 +63,8 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	pool      *link.Pool
+	follower  *follower.Follower
+	flows     atomic.Int64
 	backend   *http.Client
 	abortOnce sync.Once
 	aborted   chan struct{}
@@ -86,7 +90,8 @@
 	if ag.socket, err = socket.Listen(ctx, cfg.Datagrams, cfg.Workers); err != nil {
 		return nil, err
 	}
-	srv := &link.Server{Mux: link.NewMux(), Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	mux := link.NewMux()
+	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ag.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
 	}
@@ -103,6 +108,7 @@
 		Weight:   register.FullWeight,
 	}
 	ag.openServer()
+	ag.follow(mux)
 	return ag, nil
 }
 
@@ -114,7 +120,7 @@
 	}
 	la.last.Store(startNonce())
 	ag.transport = &quic.Transport{Conn: ag.relay, ConnectionIDGenerator: la}
-	ag.server = &http3.Server{Handler: ag}
+	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countFlow}
 }
 
 // Datagrams returns the address for enveloped datagrams.
@@ -143,6 +149,7 @@
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
--- /dev/null
+++ b/internal/transport/agent/configuration.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/quic-go/quic-go"
+
+	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/protocol/command"
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+)
+
+// follow prepares the follower, which asks the balancers for the accepted
+// configuration. An agent never calls the store.
+func (ag *Agent) follow(mux *link.Mux) {
+	ag.follower = follower.New(follower.Config{
+		Self:  rollout.Member{Address: ag.Control()},
+		Pool:  ag.pool,
+		Apply: func(*catalog.Configuration) { ag.cfg.Board.Count("ConfigurationsApplied", 1) },
+	})
+	ag.follower.Register(mux)
+	var members []rollout.Member
+	for _, seed := range ag.cfg.Seeds {
+		members = append(members, rollout.Member{Address: seed})
+	}
+	ag.follower.SetMembers(members)
+	link.On(mux, message.KindQuery, func(context.Context, link.Peer, command.Query) (any, error) {
+		return command.Status{Version: ag.follower.State().Version(), Flows: int(ag.flows.Load())}, nil
+	})
+}
+
+// Configuration returns what is in force, nil before the first one has come.
+func (ag *Agent) Configuration() *catalog.Configuration {
+	st := ag.follower.State()
+	if st == nil {
+		return nil
+	}
+	return st.Configuration
+}
+
+// countFlow counts a flow while its connection is open.
+func (ag *Agent) countFlow(ctx context.Context, co *quic.Conn) context.Context {
+	ag.flows.Add(1)
+	context.AfterFunc(co.Context(), func() { ag.flows.Add(-1) })
+	return ctx
+}
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -50,12 +51,16 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	addresses atomic.Pointer[addresses]
-	steer     atomic.Pointer[Steer]
-	directory *directory
-	entrances *entrances
-	counts    counts
-	abortOnce sync.Once
-	aborted   chan struct{}
+	// configuration is what addresses was made from.
+	configuration atomic.Pointer[catalog.Configuration]
+	steer         atomic.Pointer[Steer]
+	directory     *directory
+	entrances     *entrances
+	pool          *link.Pool
+	follower      *follower.Follower
+	counts        counts
+	abortOnce     sync.Once
+	aborted       chan struct{}
 }
 
 // counts are the metrics of the hot path.
@@ -96,6 +101,7 @@
 	ba.directory.rebuild()
 	mux := link.NewMux()
 	ba.directory.register(mux)
+	ba.registerQuery(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
@@ -103,6 +109,7 @@
 	if ba.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
+	ba.follow(mux)
 	return ba, nil
 }
 
@@ -118,6 +125,7 @@
 // Apply puts a configuration in force.
 func (ba *Balancer) Apply(cfg *catalog.Configuration) {
 	ad := newAddresses(cfg)
+	ba.configuration.Store(cfg)
 	ba.addresses.Store(ad)
 	if !ba.framed() {
 		ba.entrances.set(ad)
@@ -157,6 +165,7 @@
 	eg.Go(func() error { return ba.control.Run(serving) })
 	eg.Go(func() error { return ba.metrics.Run(serving) })
 	eg.Go(func() error { return ba.directory.run(serving) })
+	eg.Go(func() error { return ba.follower.Run(serving) })
 	ba.cfg.Board.SetReady(true)
 
 	select {
@@ -170,6 +179,7 @@
 	ba.entrances.close()
 	ba.hosts.Close()
 	err := eg.Wait()
+	ba.pool.Close()
 	klog.InfoS("Balancer stopped", "Hosts", ba.Hosts())
 	return err
 }
--- /dev/null
+++ b/internal/transport/balancer/configuration.go
@@ -0,0 +1,107 @@
+package balancer
+
+import (
+	"context"
+
+	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/protocol/command"
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
+	"corneltiller.dev/corneltiller/internal/transport/link"
+	"corneltiller.dev/corneltiller/internal/transport/store"
+)
+
+// follow prepares the follower, which keeps the accepted configuration in force.
+func (ba *Balancer) follow(mux *link.Mux) {
+	ba.pool = link.NewPool(ba.cfg.Material.PeerClientTLS())
+	fc := follower.Config{
+		Self:  rollout.Member{Address: ba.Control()},
+		Pool:  ba.pool,
+		Apply: ba.reconfigure,
+		Noticed: func(no rollout.Notice) {
+			ba.cfg.Board.Count("Configuration"+no.Kind.String(), 1)
+		},
+	}
+	if ba.cfg.Platform.IsValid() {
+		fc.Store = &store.Client{Address: ba.cfg.Platform}
+	}
+	ba.follower = follower.New(fc)
+	ba.follower.Register(mux)
+	ba.follower.SetMembers(ba.members())
+}
+
+// members returns the balancers that the settings name, and this one.
+func (ba *Balancer) members() []rollout.Member {
+	members := []rollout.Member{{Address: ba.Control()}}
+	for _, seed := range ba.cfg.Seeds {
+		if seed != ba.Control() {
+			members = append(members, rollout.Member{Address: seed})
+		}
+	}
+	return members
+}
+
+// reconfigure puts an accepted configuration in force.
+func (ba *Balancer) reconfigure(cfg *catalog.Configuration) {
+	ba.Apply(cfg)
+	ba.directory.rebuild()
+}
+
+// Configuration returns what is in force.
+func (ba *Balancer) Configuration() *catalog.Configuration {
+	return ba.configuration.Load()
+}
+
+// admits reports whether the configuration lets the host take new work. The
+// services of the settings set no limits.
+func (ba *Balancer) admits(ho register.Host) bool {
+	cfg := ba.configuration.Load()
+	if cfg.Version == (catalog.Version{}) {
+		return true
+	}
+	sv, known := cfg.ServiceByID(ho.Service)
+	if !known || !sv.MayServe(ho.Address.Addr()) {
+		return false
+	}
+	ru := cfg.Rule(ho.Address.Addr())
+	return !ru.Draining && ru.Weight > 0
+}
+
+// registerQuery answers the operators' questions.
+func (ba *Balancer) registerQuery(mux *link.Mux) {
+	link.On(mux, message.KindQuery, func(_ context.Context, _ link.Peer, qu command.Query) (any, error) {
+		return ba.status(qu), nil
+	})
+}
+
+// status returns what this balancer knows of the fleet.
+func (ba *Balancer) status(qu command.Query) command.Status {
+	hosts := ba.directory.list()
+	members := ba.members()
+	st := command.Status{
+		Version:            ba.Configuration().Version,
+		InForce:            ba.follower.InForce(),
+		Expected:           len(members) + len(hosts),
+		DatagramsForwarded: ba.counts.forwarded.Count(),
+		DatagramsAnswered:  ba.counts.answered.Count(),
+	}
+	if !qu.Records {
+		return st
+	}
+	st.Hosts = hosts
+	version := st.Version
+	st.Balancers = []register.Balancer{{
+		Address: ba.Hosts(),
+		Control: ba.Control(),
+		Domain:  ba.cfg.Domain,
+		State:   register.StateReady,
+		Term:    version.Term,
+		Version: version.Number,
+	}}
+	for _, me := range members[1:] {
+		st.Balancers = append(st.Balancers, register.Balancer{Control: me.Address})
+	}
+	return st
+}
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -63,6 +63,18 @@
 	return len(ba.directory.hosts)
 }
 
+// list returns the known hosts by address.
+func (di *directory) list() []register.Host {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	var hosts []register.Host
+	for _, kn := range di.hosts {
+		hosts = append(hosts, kn.host)
+	}
+	slices.SortFunc(hosts, func(a, b register.Host) int { return a.Address.Compare(b.Address) })
+	return hosts
+}
+
 func (di *directory) run(ctx context.Context) error {
 	ticker := time.NewTicker(directoryCheck)
 	defer ticker.Stop()
@@ -96,7 +108,7 @@
 	di.mu.Lock()
 	byService := make(map[register.ServiceID][]register.Host)
 	for _, kn := range di.hosts {
-		if kn.host.State.TakesNewWork() {
+		if kn.host.State.TakesNewWork() && di.balancer.admits(kn.host) {
 			byService[kn.host.Service] = append(byService[kn.host.Service], kn.host)
 		}
 	}
--- /dev/null
+++ b/internal/transport/console/show.go
@@ -0,0 +1,259 @@
+package console
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/change"
+	"corneltiller.dev/corneltiller/internal/protocol/command"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// defaultHistory is how many entries SHOW HISTORY lists.
+const defaultHistory = 20
+
+// show answers a query.
+func (co *Console) show(ctx context.Context, sh *command.Show) error {
+	switch {
+	case sh.InForce:
+		return co.showInForce(ctx)
+	case sh.Hosts != nil:
+		return co.showHosts(ctx, sh.Hosts.Service)
+	case sh.Balancers:
+		return co.showBalancers(ctx)
+	case sh.Flows:
+		return co.showFlows(ctx)
+	case sh.Change != "":
+		return co.inquire(ctx, change.Identity(sh.Change), false)
+	case sh.Diff:
+		return co.showDiff(ctx)
+	}
+	sn, decoded, asked, err := co.read(ctx)
+	if err != nil {
+		return err
+	}
+	switch {
+	case sh.Say:
+		return co.print(newSay(decoded, asked))
+	case sh.Services:
+		return co.print(servicesTable(decoded))
+	case sh.Owners:
+		return co.print(ownersTable(decoded))
+	case sh.Calendar:
+		return co.print(calendarTable(decoded))
+	case sh.Rules:
+		return co.print(rulesTable(decoded))
+	case sh.Retired:
+		return co.print(retiredTable(decoded))
+	default:
+		return co.showHistory(ctx, sn, sh.History.Last)
+	}
+}
+
+func newSay(decoded *catalog.Configuration, asked time.Time) *Say {
+	sa := &Say{Say: decoded.Say, Version: decoded.Version.String(), Lapsed: !asked.Before(decoded.Say.Until)}
+	at := decoded.Say.Until
+	if sa.Lapsed {
+		at = asked
+	}
+	if tu, ok := decoded.TurnAt(at); ok && tu.Owner != decoded.Say.Owner {
+		sa.Next = tu.Owner
+	}
+	return sa
+}
+
+func servicesTable(decoded *catalog.Configuration) *Table[catalog.Service] {
+	return &Table[catalog.Service]{
+		Records: decoded.Services,
+		header:  "NUMBER\tNAME\tFIRM\tADDRESSES\tHOSTS\tCLASSES",
+		row: func(sv catalog.Service) string {
+			var classes []string
+			for _, cl := range sv.Classes {
+				classes = append(classes, classText(cl))
+			}
+			return fmt.Sprintf("%d\t%s\t%s\t%s\t%s\t%s", sv.ID, sv.Name, sv.Firm,
+				joinAddresses(sv.Addresses), joinRanges(sv.Hosts), strings.Join(classes, "; "))
+		},
+	}
+}
+
+func classText(cl catalog.Class) string {
+	text := cl.Name + " deferrable"
+	if cl.Urgent {
+		text = cl.Name + " urgent"
+	}
+	if len(cl.Paths) > 0 {
+		text += " " + strings.Join(cl.Paths, " ")
+	}
+	if cl.Limit > 0 {
+		text += fmt.Sprintf(" limit %d", cl.Limit)
+	}
+	return text
+}
+
+func joinRanges(ranges []netip.Prefix) string {
+	var texts []string
+	for _, ra := range ranges {
+		texts = append(texts, ra.String())
+	}
+	return strings.Join(texts, ", ")
+}
+
+func ownersTable(decoded *catalog.Configuration) *Table[catalog.Owner] {
+	return &Table[catalog.Owner]{
+		Records: decoded.Owners,
+		header:  "OWNER\tKEY",
+		row:     func(ow catalog.Owner) string { return ow.Name + "\t" + command.FormatKey(ow.Key) },
+	}
+}
+
+func calendarTable(decoded *catalog.Configuration) *Table[catalog.Turn] {
+	return &Table[catalog.Turn]{
+		Records: decoded.Calendar,
+		header:  "FROM\tOWNER",
+		row:     func(tu catalog.Turn) string { return tu.From.Format("2006-01") + "\t" + tu.Owner },
+	}
+}
+
+func rulesTable(decoded *catalog.Configuration) *Table[catalog.HostRule] {
+	return &Table[catalog.HostRule]{
+		Records: decoded.Rules,
+		header:  "HOSTS\tDRAINING\tWEIGHT",
+		row: func(ru catalog.HostRule) string {
+			return fmt.Sprintf("%s\t%t\t%d%%", ru.Hosts, ru.Draining, ru.Weight)
+		},
+	}
+}
+
+func retiredTable(decoded *catalog.Configuration) *Table[catalog.Retirement] {
+	return &Table[catalog.Retirement]{
+		Records: decoded.Retired,
+		header:  "ADDRESS\tLAST SERVICE\tSINCE",
+		row: func(re catalog.Retirement) string {
+			return fmt.Sprintf("%s\t%d\t%s", re.Address, re.Service, re.Since)
+		},
+	}
+}
+
+// showHistory lists the latest changes, with pages if the root holds too few.
+func (co *Console) showHistory(ctx context.Context, sn *change.Snapshot, last int) error {
+	if last <= 0 {
+		last = defaultHistory
+	}
+	entries := slices.Clone(sn.Root.History)
+	for i := len(sn.Root.Pages) - 1; i >= 0 && len(entries) < last; i-- {
+		found, err := co.Store.Get(ctx, sn.Root.Pages[i].Name)
+		if err != nil {
+			return err
+		}
+		page, err := change.DecodePage(found.Value)
+		if err != nil {
+			return err
+		}
+		entries = append(page, entries...)
+	}
+	entries = entries[max(0, len(entries)-last):]
+	return co.print(&Table[change.Entry]{
+		Records: entries,
+		header:  "VERSION\tAT\tOWNER\tCHANGE\tWHAT",
+		row: func(en change.Entry) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%s\t%s", en.Version, en.At.Format(time.RFC3339), en.Owner, en.Identity, en.Summary)
+		},
+	})
+}
+
+func (co *Console) showInForce(ctx context.Context) error {
+	st, err := co.Fleet.Ask(ctx, command.Query{})
+	if err != nil {
+		return err
+	}
+	return co.print(&InForce{Report: st.InForce, Expected: st.Expected})
+}
+
+func (co *Console) showHosts(ctx context.Context, service string) error {
+	st, err := co.Fleet.Ask(ctx, command.Query{Records: true})
+	if err != nil {
+		return err
+	}
+	names := co.serviceNames(ctx)
+	hosts := slices.DeleteFunc(st.Hosts, func(ho register.Host) bool {
+		return service != "" && names(ho.Service) != service
+	})
+	return co.print(&Table[register.Host]{
+		Records: hosts,
+		header:  "HOST\tSERVICE\tDOMAIN\tSTATE\tWEIGHT\tLOAD",
+		row: func(ho register.Host) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%s\t%d%%\t%d%%", ho.Address, names(ho.Service), ho.Domain, ho.State, ho.Weight, ho.Load)
+		},
+	})
+}
+
+// serviceNames returns a function that names services, by number while the
+// store is down.
+func (co *Console) serviceNames(ctx context.Context) func(register.ServiceID) string {
+	_, decoded, _, err := co.read(ctx)
+	return func(id register.ServiceID) string {
+		if err == nil {
+			if sv, ok := decoded.ServiceByID(id); ok {
+				return sv.Name
+			}
+		}
+		return fmt.Sprint(id)
+	}
+}
+
+func (co *Console) showBalancers(ctx context.Context) error {
+	st, err := co.Fleet.Ask(ctx, command.Query{Records: true})
+	if err != nil {
+		return err
+	}
+	return co.print(&Table[register.Balancer]{
+		Records: st.Balancers,
+		header:  "BALANCER\tCONTROL\tDOMAIN\tSTATE\tVERSION",
+		row: func(ba register.Balancer) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%s\t%d.%d", ba.Address, ba.Control, ba.Domain, ba.State, ba.Term, ba.Version)
+		},
+	})
+}
+
+// HostFlows is the number of open flows of one host.
+type HostFlows struct {
+	Host  netip.AddrPort
+	Flows int
+	// Failure says why the host gave no number.
+	Failure string `json:",omitempty"`
+}
+
+func (co *Console) showFlows(ctx context.Context) error {
+	st, err := co.Fleet.Ask(ctx, command.Query{Records: true})
+	if err != nil {
+		return err
+	}
+	return co.print(&Table[HostFlows]{
+		Records: co.Fleet.Flows(ctx, st),
+		header:  "HOST\tFLOWS",
+		row: func(hf HostFlows) string {
+			if hf.Failure != "" {
+				return hf.Host.String() + "\t" + hf.Failure
+			}
+			return fmt.Sprintf("%s\t%d", hf.Host, hf.Flows)
+		},
+	})
+}
+
+// showDiff shows what the open batch would alter in the store's version.
+func (co *Console) showDiff(ctx context.Context) error {
+	if !co.open {
+		return ErrNoBatch
+	}
+	ou, err := co.commit(ctx, change.Request{Edits: co.batch, DryRun: true})
+	if err != nil {
+		return err
+	}
+	return co.print(newOutcome(ou))
+}
--- /dev/null
+++ b/internal/transport/store/perform.go
@@ -0,0 +1,126 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/protocol/object"
+)
+
+// Perform makes one attempt of a call, to be answered before the deadline.
+func (cl *Client) Perform(ctx context.Context, ac archive.Action) archive.Answer {
+	ctx, cancel := context.WithDeadline(ctx, ac.Deadline)
+	defer cancel()
+	an := archive.Answer{ID: ac.Call.ID, Attempt: ac.Attempt}
+	found, err := cl.attempt(ctx, ac.Call, &an)
+	an.Result = resultOf(err)
+	an.Object = archive.Object{
+		Name:    ac.Call.Name,
+		Version: uint64(found.Version),
+		Value:   found.Value,
+		Asked:   found.Asked,
+	}
+	return an
+}
+
+func (cl *Client) attempt(ctx context.Context, ca archive.Call, an *archive.Answer) (object.Object, error) {
+	version := object.Version(ca.Version)
+	switch ca.Kind {
+	case archive.KindPut:
+		return cl.Put(ctx, ca.Name, ca.Value, version)
+	case archive.KindDelete:
+		return object.Object{}, cl.Delete(ctx, ca.Name, version)
+	case archive.KindWatch:
+		return cl.Watch(ctx, ca.Name, version, ca.Until)
+	case archive.KindList:
+		li, err := cl.List(ctx, ca.Name)
+		for _, ob := range li.Objects {
+			an.Names = append(an.Names, archive.Object{Name: ob.Name, Version: uint64(ob.Version)})
+		}
+		return object.Object{}, err
+	default:
+		return cl.Get(ctx, ca.Name)
+	}
+}
+
+// resultOf returns the result that an error stands for.
+func resultOf(err error) archive.Result {
+	switch {
+	case err == nil:
+		return archive.ResultDone
+	case errors.Is(err, object.ErrNotFound):
+		return archive.ResultNotFound
+	case errors.Is(err, object.ErrConflict):
+		return archive.ResultConflict
+	case errors.Is(err, object.ErrUnchanged):
+		return archive.ResultUnchanged
+	case errors.Is(err, object.ErrRefused):
+		return archive.ResultRefused
+	case errors.Is(err, object.ErrTooLarge):
+		return archive.ResultTooLarge
+	default:
+		return archive.ResultUnanswered
+	}
+}
+
+// Core is a decision core that needs calls to the store, such as a change.
+type Core interface {
+	Start(now time.Time) []archive.Call
+	Handle(now time.Time, an archive.Answer) []archive.Call
+	Done() bool
+}
+
+// Drive runs a core to its end. The deadline is asked for each call; calls that
+// are open when the context ends stay without an answer.
+func (cl *Client) Drive(ctx context.Context, calls *archive.Client, co Core, deadline func() time.Time) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan archive.Answer)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	var queue []archive.Action
+	submit := func(list []archive.Call) {
+		for _, ca := range list {
+			queue = append(queue, calls.Submit(time.Now(), ca, deadline())...)
+		}
+	}
+	submit(co.Start(time.Now()))
+	for !co.Done() {
+		for len(queue) > 0 {
+			ac := queue[0]
+			queue = queue[1:]
+			switch ac.Kind {
+			case archive.ActionSend:
+				go cl.deliver(ctx, ac, answers)
+			case archive.ActionWake:
+				wake.Reset(time.Until(ac.Deadline))
+			case archive.ActionComplete:
+				submit(co.Handle(time.Now(), ac.Answer))
+			}
+		}
+		if co.Done() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "wait for store %s", cl.Address)
+		case an := <-answers:
+			queue = append(queue, calls.Answered(time.Now(), an)...)
+		case <-wake.C:
+			queue = append(queue, calls.Tick(time.Now())...)
+		}
+	}
+	return nil
+}
+
+// deliver performs the attempt and hands its answer over while it is wanted.
+func (cl *Client) deliver(ctx context.Context, ac archive.Action, answers chan<- archive.Answer) {
+	an := cl.Perform(ctx, ac)
+	select {
+	case answers <- an:
+	case <-ctx.Done():
+	}
+}
