--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -29,6 +29,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -66,6 +67,7 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	pool      *link.Pool
+	follower  *follower.Follower
 	backend   *http.Client
 	abortOnce sync.Once
 	aborted   chan struct{}
@@ -98,7 +100,8 @@
 	if ag.socket, err = socket.Listen(ctx, cfg.Datagrams, cfg.Workers); err != nil {
 		return nil, err
 	}
-	srv := &link.Server{Mux: link.NewMux(), Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	mux := link.NewMux()
+	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ag.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
 	}
@@ -116,6 +119,7 @@
 	}
 	ag.flows = route.NewFlowTable(ag.record, route.KeyOf(cfg.Material.Secret()), time.Now(), maxFlows)
 	ag.openServer()
+	ag.follow(mux)
 	return ag, nil
 }
 
@@ -183,6 +187,7 @@
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 const (
 	hostLifetime   = 3 * time.Second
 	directoryCheck = 500 * time.Millisecond
+	// generationBits is the part of a table's sequence that counts configurations.
+	generationBits = 32
 )
 
 // directory holds the hosts that have announced themselves.
@@ -22,6 +25,12 @@
 
 	mu    sync.Mutex
 	hosts map[netip.AddrPort]known
+
+	// tableMu orders the writers of the balancer's table. Lock order: tableMu
+	// before mu.
+	tableMu sync.Mutex
+	// generation counts the configurations applied.
+	generation uint64
 }
 
 // known is an announced host and when it is given up.
@@ -61,6 +70,18 @@
 	return len(ba.directory.hosts)
 }
 
+// list returns the known hosts by address.
+func (di *directory) list() []register.Host {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	var hosts []register.Host
+	for _, kn := range di.hosts {
+		hosts = append(hosts, kn.host)
+	}
+	slices.SortFunc(hosts, func(a, b register.Host) int { return a.Address.Compare(b.Address) })
+	return hosts
+}
+
 func (di *directory) run(ctx context.Context) error {
 	ticker := time.NewTicker(directoryCheck)
 	defer ticker.Stop()
@@ -93,11 +114,36 @@
 // advance puts the table after the announced records in force.
 func (di *directory) advance(now time.Time, announced []register.Host) {
 	ba := di.balancer
-	ba.tableMu.Lock()
-	defer ba.tableMu.Unlock()
+	di.tableMu.Lock()
+	defer di.tableMu.Unlock()
 	ta := ba.table.Load()
 	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
-	if len(announced) > 0 || due {
-		ba.table.Store(ta.Next(now, announced))
+	if len(announced) == 0 && !due {
+		return
+	}
+	effective := make([]register.Host, 0, len(announced))
+	for _, ho := range announced {
+		effective = append(effective, di.effective(ho))
+	}
+	ba.table.Store(ta.Next(now, effective))
+}
+
+// rebuild applies a new configuration to every known host.
+func (di *directory) rebuild() {
+	di.tableMu.Lock()
+	di.generation++
+	di.tableMu.Unlock()
+	di.advance(time.Now(), di.list())
+}
+
+// effective returns the record as the configuration lets it count. Its sequence
+// also grows with each configuration. The caller holds tableMu.
+func (di *directory) effective(ho register.Host) register.Host {
+	weight := di.balancer.weight(ho)
+	ho.Sequence = ho.Sequence<<generationBits | di.generation
+	if weight == 0 && ho.State.TakesNewWork() {
+		ho.State = register.StateDraining
 	}
+	ho.Weight = weight
+	return ho
 }
