--- a/internal/coordination/dispatch/breaker.go
+++ b/internal/coordination/dispatch/breaker.go
@@ -7,9 +7,8 @@
 
 // The behaviour of the breaker.
 const (
-	// breakerWindow is the number of results that the breaker looks back on.
-	breakerWindow = 16
-	// breakerFailures is the number of failures among them that opens it.
+	// breakerFailures is the number of failures among the last 16 results that
+	// opens the breaker.
 	breakerFailures = 8
 	// firstPause is the first time that the breaker stays open.
 	firstPause = 500 * time.Millisecond
@@ -22,7 +21,7 @@
 // Breaker is a circuit breaker before the backend server. A server that fails
 // fast would otherwise seem idle and draw requests from its peers.
 type Breaker struct {
-	// results has a bit set for each failure, the latest lowest.
+	// results has a bit set for each failure of the last 16, the latest lowest.
 	results uint16
 	pause   time.Duration
 	until   time.Time
--- a/internal/coordination/dispatch/outcome_test.go
+++ b/internal/coordination/dispatch/outcome_test.go
@@ -23,15 +23,15 @@
 			return at
 		}
 		class := func() Class { return Class(rapid.IntRange(0, 1).Draw(rt, "class")) }
-		place := func(repeatable bool) {
+		placeAt := func(at int, repeatable bool) {
 			or := &order{number: len(wo.orders) + 1, repeatable: repeatable}
 			wo.orders = append(wo.orders, or)
-			at := agent()
 			wo.open(at, or, OriginCaller, class(), sender{})
 			if !repeatable && or.ticket.Valid() {
 				wo.open(at, or, OriginCaller, class(), sender{})
 			}
 		}
+		place := func(repeatable bool) { placeAt(agent(), repeatable) }
 		deliver := func(lost bool) {
 			if len(wo.parcels) == 0 {
 				return
@@ -53,6 +53,17 @@
 			"Book":  func(*rapid.T) { place(false) },
 			"Book2": func(*rapid.T) { place(false) },
 			"Ask":   func(*rapid.T) { place(true) },
+			"Burst": func(rt *rapid.T) {
+				at := agent()
+				for range 6 {
+					placeAt(at, rapid.Bool().Draw(rt, "repeatable"))
+				}
+			},
+			"Flush": func(*rapid.T) {
+				for range 12 {
+					deliver(false)
+				}
+			},
 			"Repeat": func(rt *rapid.T) {
 				if len(wo.orders) == 0 {
 					return
--- a/internal/standin/demo/traffic.go
+++ b/internal/standin/demo/traffic.go
@@ -16,7 +16,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"corneltiller.dev/corneltiller/internal/protocol/outcome"
 	"corneltiller.dev/corneltiller/internal/standin/backend"
+	"corneltiller.dev/corneltiller/internal/state/ledger"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/caller"
 )
@@ -160,14 +162,16 @@
 		en.failure = err.Error()
 		return
 	}
+	ou, _ := outcome.Read(answer.Header)
 	switch {
 	case answer.StatusCode == http.StatusOK:
 		en.outcome = OutcomeAnswered
 		dr.check(en, body, data)
-	case answer.Header.Get(backend.HeaderShed) != "":
+	case ou == ledger.NotRun, answer.Header.Get(backend.HeaderShed) != "":
 		en.outcome = OutcomeNotRun
+		en.failure = answer.Header.Get(outcome.HeaderReason)
 	default:
-		en.failure = answer.Status
+		en.failure = answer.Status + " " + answer.Header.Get(outcome.HeaderReason)
 	}
 }
 
--- a/internal/standin/queueing/agents.go
+++ b/internal/standin/queueing/agents.go
@@ -93,7 +93,7 @@
 		ag.carryOut(at, ac)
 	}
 	next := no.desk.NextWake()
-	if next.IsZero() || (next.Equal(no.wake)) {
+	if next.IsZero() || next.Equal(no.wake) {
 		return
 	}
 	no.wake = next
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -29,6 +29,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/desk"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
@@ -68,7 +69,7 @@
 	metrics   *link.Listener
 	pool      *link.Pool
 	follower  *follower.Follower
-	backend   *http.Client
+	desk      *desk.Desk
 	abortOnce sync.Once
 	aborted   chan struct{}
 	counts    counts
@@ -89,7 +90,6 @@
 		service:   register.ServiceID(cfg.Service),
 		envelopes: envelope.NewCodec(cfg.Material.Secret()),
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
-		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		aborted:   make(chan struct{}),
 		counts:    newCounts(cfg.Board),
 	}
@@ -118,6 +118,7 @@
 		Weight:   register.FullWeight,
 	}
 	ag.flows = route.NewFlowTable(ag.record, route.KeyOf(cfg.Material.Secret()), time.Now(), maxFlows)
+	ag.openDesk(mux, ag.record)
 	ag.openServer()
 	ag.follow(mux)
 	return ag, nil
@@ -135,7 +136,7 @@
 		ConnectionIDGenerator: la,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
-	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+	ag.server = &http3.Server{Handler: ag.desk, ConnContext: ag.countConnection}
 }
 
 // countConnection tells the flow table how many flows are open.
@@ -209,6 +210,7 @@
 	ag.relay.Close()
 	ag.socket.Close()
 	ag.pool.Close()
+	ag.desk.Close()
 	err = eg.Wait()
 	klog.InfoS("Agent stopped", "Datagrams", ag.Datagrams())
 	return err
@@ -228,9 +230,11 @@
 	defer cancel()
 	ag.advance(register.StateDraining)
 	ag.announceOnce(ctx)
+	stopped := ag.stopDesk(deadline)
 	if err := ag.server.Shutdown(ctx); err != nil {
-		klog.InfoS("Agent stopped with open requests", "Err", err)
+		klog.InfoS("Agent stopped with open flows", "Err", err)
 	}
+	<-stopped
 	// New flows come here until the last balancer knows that the host leaves.
 	socket.AwaitQuiet(ag.traffic, deadline)
 	ag.advance(register.StateGone)
--- a/internal/transport/agent/handler.go
+++ b/internal/transport/agent/handler.go
@@ -1,33 +1,40 @@
 package agent
 
 import (
-	"io"
-	"net/http"
+	"strconv"
+	"time"
 
 	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+	"corneltiller.dev/corneltiller/internal/transport/desk"
+	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
-// ServeHTTP hands a caller's request to the backend server and copies the answer.
-func (ag *Agent) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
-	out, err := http.NewRequestWithContext(re.Context(), re.Method, "http://"+ag.cfg.Backend.String()+re.URL.RequestURI(), re.Body)
-	if err != nil {
-		http.Error(wr, err.Error(), http.StatusBadRequest)
-		return
-	}
-	out.Header = re.Header.Clone()
-	out.ContentLength = re.ContentLength
-	answer, err := ag.backend.Do(out)
-	if err != nil {
-		klog.V(1).InfoS("Backend server failed", "Backend", ag.cfg.Backend, "Err", err)
-		http.Error(wr, "backend server failed", http.StatusBadGateway)
-		return
-	}
-	defer answer.Body.Close()
-	for name, values := range answer.Header {
-		wr.Header()[name] = values
-	}
-	wr.WriteHeader(answer.StatusCode)
-	if _, err := io.Copy(wr, answer.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
+// openDesk makes the handler of the callers' requests.
+func (ag *Agent) openDesk(mux *link.Mux, record register.Host) {
+	ag.desk = desk.Open(desk.Config{
+		Host:    record,
+		Label:   "Service" + strconv.FormatUint(uint64(ag.service), 10),
+		Slots:   ag.cfg.Slots,
+		Backend: ag.cfg.Backend,
+		Secret:  ag.cfg.Material.Secret(),
+		Pool:    ag.pool,
+		Board:   ag.cfg.Board,
+	})
+	ag.desk.Register(mux)
+}
+
+// stopDesk lets the requests in progress end and hands the ledger over. The
+// returned channel is closed when that is done.
+func (ag *Agent) stopDesk(deadline time.Time) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		re := ag.desk.Stop(deadline)
+		if re.Cut > 0 {
+			klog.InfoS("Agent stopped with requests in progress", "Requests", re.Cut, "LedgerAdopted", re.Adopted)
+		}
+	}()
+	return done
 }
