--- a/internal/coordination/dispatch/outcome_test.go
+++ b/internal/coordination/dispatch/outcome_test.go
@@ -79,6 +79,12 @@
 			"Lose": func(rt *rapid.T) {
 				deliver(rapid.IntRange(0, 2).Draw(rt, "lost") == 0)
 			},
+			"LoseAnswer": func(*rapid.T) { wo.loseAnswer() },
+			"TimeOut": func(rt *rapid.T) {
+				if len(wo.parcels) > 0 {
+					wo.timeOut(rapid.IntRange(0, len(wo.parcels)-1).Draw(rt, "late"))
+				}
+			},
 			"Serve":  serve,
 			"Serve2": serve,
 			"Advance": func(rt *rapid.T) {
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -296,6 +296,26 @@
 	}
 }
 
+// loseAnswer loses the first response to a delegated or relayed request.
+func (wo *world) loseAnswer() {
+	for at, pa := range wo.parcels {
+		de, delegated := pa.event.(Delegated)
+		re, relayed := pa.event.(Relayed)
+		if delegated && de.Outcome == ledger.Answered || relayed && re.Outcome == ledger.Answered {
+			wo.parcels = append(wo.parcels[:at:at], wo.parcels[at+1:]...)
+			wo.deliver(pa, true)
+			return
+		}
+	}
+}
+
+// timeOut tells the sender of a parcel that it was lost, while it is only late.
+func (wo *world) timeOut(at int) {
+	pa := wo.parcels[at]
+	wo.parcels[at].failure = nil
+	wo.fail(pa)
+}
+
 // fail tells the sender of a parcel that it brought no response.
 func (wo *world) fail(pa parcel) {
 	pr := wo.agents[pa.from.agent]
