--- a/internal/coordination/membership/node.go
+++ b/internal/coordination/membership/node.go
@@ -255,7 +255,7 @@
 	no.roster.Tick(now)
 	no.widen(now)
 	acts := no.runRoster(nil, no.announcer.Tick(now), now)
-	if no.watcher != nil {
+	if no.watcher != nil && no.joined() {
 		acts = no.runRoster(acts, no.watcher.Tick(now), now)
 	}
 	if no.joiner != nil {
--- a/internal/coordination/roster/suspicion.go
+++ b/internal/coordination/roster/suspicion.go
@@ -17,13 +17,13 @@
 		wa.restart(now)
 		return nil
 	}
-	wa.dropRemoved()
+	wa.settle(now)
 	if wa.doubtsItself(now) {
 		return nil
 	}
 	var acts []Action
-	for _, wt := range slices.Clone(wa.watches) {
-		if now.Sub(wt.heard) >= SuspectAfter {
+	for _, wt := range wa.watches {
+		if wt.silent(now) {
 			acts = wa.suspect(acts, wt, now)
 		}
 	}
@@ -37,25 +37,50 @@
 	}
 }
 
-// dropRemoved stops watching the subjects that left the fleet.
-func (wa *Watcher) dropRemoved() {
+// settle looks up which subjects the view removed already. They are watched on
+// for a while, because a record that was announced before the crash may still
+// arrive and supersede the removal.
+func (wa *Watcher) settle(now time.Time) {
 	wa.watches = slices.DeleteFunc(wa.watches, func(wt *watch) bool {
-		me, ok := wa.roster.members[wt.subject]
-		if !ok {
+		me := wa.roster.members[wt.subject]
+		if me == nil {
 			return false
 		}
-		removed := !wt.revision.Supersedes(me.Removal.Revision)
-		gone := me.State == register.StateGone && !wt.revision.Supersedes(me.Revision)
-		return removed || gone
+		if me.State == register.StateGone && !wt.revision.Supersedes(me.Revision) {
+			return true
+		}
+		if wt.latest(me).Supersedes(me.Removal.Revision) {
+			wt.removed = time.Time{}
+			return false
+		}
+		if wt.removed.IsZero() {
+			wt.removed = now
+			wt.suspected = time.Time{}
+		}
+		return now.Sub(wt.removed) >= lingerTime
 	})
 }
 
+// latest returns the newest revision of the subject that is known from
+// heartbeats or from its record, which is nil if there is none.
+func (wt *watch) latest(me *Member) register.Revision {
+	if me != nil && me.Supersedes(wt.revision) {
+		return me.Revision
+	}
+	return wt.revision
+}
+
+// silent reports whether the subject is to be suspected.
+func (wt *watch) silent(now time.Time) bool {
+	return wt.removed.IsZero() && now.Sub(wt.heard) >= SuspectAfter
+}
+
 // doubtsItself reports whether so many subjects are silent at once that the
 // fault is likely this watcher's own. The doubt ends after DistrustHold.
 func (wa *Watcher) doubtsItself(now time.Time) bool {
 	silent := 0
 	for _, wt := range wa.watches {
-		if now.Sub(wt.heard) >= SuspectAfter {
+		if wt.silent(now) {
 			silent++
 		}
 	}
@@ -88,7 +113,7 @@
 		return acts
 	}
 	voters := wt.voters(wa.self, now)
-	if len(voters) <= len(wt.watchers)/2 {
+	if len(voters) <= wa.electorate(wt, now)/2 {
 		return acts
 	}
 	return wa.remove(acts, wt, voters)
@@ -108,14 +133,14 @@
 	return acts
 }
 
-// remove publishes the removal of the subject and stops watching it.
+// remove publishes the removal of the newest known revision of the subject.
 func (wa *Watcher) remove(acts []Action, wt *watch, voters []netip.AddrPort) []Action {
-	re := Removal{Subject: wt.subject, Revision: wt.revision, Watchers: voters}
+	revision := wt.latest(wa.roster.members[wt.subject])
+	re := Removal{Subject: wt.subject, Revision: revision, Watchers: voters}
 	it, err := RemovalItem(re, wt.scope)
 	if err != nil {
 		return acts
 	}
-	wa.forget(wt.subject)
 	return append(acts, Publish{Item: it})
 }
 
@@ -184,8 +209,21 @@
 	}
 }
 
-// recruit replaces the watchers that were themselves removed, so that the
-// death of watchers does not keep a dead subject in the fleet.
+// electorate returns how many watchers decide about the subject: those that it
+// named, but no fewer than it would name in this watcher's view.
+func (wa *Watcher) electorate(wt *watch, now time.Time) int {
+	eligible := 0
+	for _, pe := range wa.roster.Peers(now) {
+		if pe.Address != wt.control {
+			eligible++
+		}
+	}
+	return max(len(wt.watchers), min(eligible, WatcherCount))
+}
+
+// recruit completes the watchers: it replaces those that were themselves
+// removed and tells all others whom to watch, in case the subject died before
+// its first heartbeat reached them.
 func (wa *Watcher) recruit(acts []Action, wt *watch, now time.Time) []Action {
 	var kept []netip.AddrPort
 	for _, watcher := range wt.watchers {
@@ -193,11 +231,9 @@
 			kept = append(kept, watcher)
 		}
 	}
-	if len(kept) == len(wt.watchers) {
-		return acts
-	}
+	wanted := wa.electorate(wt, now)
 	for _, ca := range ranked(wt.subject, wa.roster.Peers(now)) {
-		if len(kept) == len(wt.watchers) {
+		if len(kept) >= wanted {
 			break
 		}
 		if ca.Address != wt.control && !slices.Contains(kept, ca.Address) {
@@ -205,15 +241,20 @@
 		}
 	}
 	wt.watchers = kept
+	return wa.handOver(acts, wt, now)
+}
+
+// handOver tells all watchers of the subject to watch it.
+func (wa *Watcher) handOver(acts []Action, wt *watch, now time.Time) []Action {
 	msg := Message{Recruit: &Recruit{
 		Subject:  wt.subject,
 		Revision: wt.revision,
 		Scope:    wt.scope,
 		Beat:     wt.beat,
 		Control:  wt.control,
-		Watchers: kept,
+		Watchers: wt.watchers,
 	}}
-	for _, to := range kept {
+	for _, to := range wt.watchers {
 		acts = wa.send(acts, to, msg, now)
 	}
 	return acts
@@ -221,7 +262,7 @@
 
 // receiveRecruit begins to watch the subject, or answers with a later beat.
 func (wa *Watcher) receiveRecruit(from netip.AddrPort, re Recruit, now time.Time) []Action {
-	if !slices.Contains(re.Watchers, wa.self) || !slices.Contains(re.Watchers, from) {
+	if !slices.Contains(re.Watchers, wa.self) {
 		return nil
 	}
 	wt := wa.find(re.Subject)
--- a/internal/coordination/roster/watcher.go
+++ b/internal/coordination/roster/watcher.go
@@ -21,10 +21,12 @@
 	SuspicionInterval = 200 * time.Millisecond
 	// voteLifetime is how long the suspicion of another watcher counts.
 	voteLifetime = 700 * time.Millisecond
-	// RecruitAfter is the silence after which removed watchers are replaced.
+	// RecruitAfter is the silence after which the watchers are completed.
 	RecruitAfter = 4 * time.Second
 	// recruitInterval is the time between repeats of a recruitment.
 	recruitInterval = 2 * time.Second
+	// lingerTime is how long a removed subject is watched on.
+	lingerTime = time.Minute
 	// pauseGap is the time between two ticks that shows that the watcher
 	// itself was paused.
 	pauseGap = time.Second
@@ -54,7 +56,9 @@
 	watchers []netip.AddrPort
 	listBeat uint64
 	// suspected is when this watcher began to suspect; zero if it does not.
-	suspected     time.Time
+	suspected time.Time
+	// removed is when the view removed the subject; zero if it did not.
+	removed       time.Time
 	nextSuspicion time.Time
 	nextRecruit   time.Time
 	votes         []vote
@@ -138,8 +142,8 @@
 	}
 	wt := wa.find(he.Subject)
 	if len(he.Watchers) > 0 && !slices.Contains(he.Watchers, wa.self) {
-		wa.release(he)
-		return wa.confirm(nil, from, he.Subject, true, now)
+		acts := wa.release(he, now)
+		return wa.confirm(acts, from, he.Subject, true, now)
 	}
 	if wt == nil && len(he.Watchers) == 0 {
 		return wa.confirm(nil, from, he.Subject, false, now)
@@ -207,11 +211,18 @@
 	return acts
 }
 
-// release stops watching a subject that chose other watchers.
-func (wa *Watcher) release(he Heartbeat) {
-	wa.watches = slices.DeleteFunc(wa.watches, func(wt *watch) bool {
-		return wt.subject == he.Subject && he.Beat >= wt.listBeat
-	})
+// release stops watching a subject that chose other watchers, and hands over to
+// them: the subject may die before they hear of it.
+func (wa *Watcher) release(he Heartbeat, now time.Time) []Action {
+	wt := wa.find(he.Subject)
+	if wt == nil || he.Incarnation < wt.revision.Incarnation || he.Beat < wt.listBeat {
+		return nil
+	}
+	wa.forget(he.Subject)
+	wt.revision = he.Revision
+	wt.beat = he.Beat
+	wt.watchers = he.Watchers
+	return wa.handOver(nil, wt, now)
 }
 
 // forget stops watching a subject.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -175,10 +175,10 @@
 // node returns a node with addresses of its own.
 func (fl *Fleet) node(role roster.Role, number int) *Node {
 	fl.made++
-	ip := netip.AddrFrom4([4]byte{10, byte(fl.made >> 16), byte(fl.made >> 8), byte(fl.made)})
+	ip := addressOf(fl.made)
 	nd := &Node{
-		Address: netip.AddrPortFrom(ip, 4433),
-		Control: netip.AddrPortFrom(ip, 7443),
+		Address: netip.AddrPortFrom(ip, datagramPort),
+		Control: netip.AddrPortFrom(ip, controlPort),
 		Domain:  fmt.Sprintf("region-%d/domain-%d", number%fl.options.Domains/3, number%fl.options.Domains),
 		Role:    role,
 
@@ -188,15 +188,27 @@
 	return nd
 }
 
-// seeds returns some balancers, as a node's settings name them.
+// seeds returns the control addresses of the first balancers, as the settings
+// of every node name them.
 func (fl *Fleet) seeds() []netip.AddrPort {
 	var seeds []netip.AddrPort
-	for _, nd := range fl.Balancers[:min(len(fl.Balancers), seedCount)] {
-		seeds = append(seeds, nd.Control)
+	for number := range min(fl.options.Balancers, seedCount) {
+		seeds = append(seeds, netip.AddrPortFrom(addressOf(number+1), controlPort))
 	}
 	return seeds
 }
 
+// The ports of each node.
+const (
+	datagramPort = 4433
+	controlPort  = 7443
+)
+
+// addressOf returns the address of the node that was made as the given one.
+func addressOf(made int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, byte(made >> 16), byte(made >> 8), byte(made)})
+}
+
 // random returns a source for one node.
 func (fl *Fleet) random() *rand.Rand {
 	return rand.New(rand.NewPCG(fl.options.Seed, uint64(fl.made)+2))
