--- a/internal/coordination/delivery/bucket.go
+++ b/internal/coordination/delivery/bucket.go
@@ -10,6 +10,11 @@
 	BudgetBurstBytes = 4000
 	// LivenessReserveBytes stay in the bucket for heartbeats and suspicions.
 	LivenessReserveBytes = 600
+	// LivenessBytesPerSecond and LivenessBurstBytes bound the part of the
+	// budget that heartbeats and suspicions may take, so that gossip goes on
+	// while many subjects are silent.
+	LivenessBytesPerSecond = 1300
+	LivenessBurstBytes     = 2600
 	// FrameOverheadBytes is added to each message for framing and TLS.
 	FrameOverheadBytes = 30
 )
@@ -22,6 +27,15 @@
 	tokens         float64
 	filled         time.Time
 	spent          uint64
+	// liveness, if set, bounds what TakeLiveness may take.
+	liveness *Bucket
+}
+
+// NewBudget returns the full control budget of one node.
+func NewBudget(now time.Time) *Bucket {
+	bu := NewBucket(BudgetBytesPerSecond, BudgetBurstBytes, now)
+	bu.liveness = NewBucket(LivenessBytesPerSecond, LivenessBurstBytes, now)
+	return bu
 }
 
 // NewBucket returns a full bucket.
@@ -47,6 +61,15 @@
 	return true
 }
 
+// TakeLiveness spends the bytes for a heartbeat or a suspicion from the budget
+// and from the part of it that is meant for them.
+func (bu *Bucket) TakeLiveness(now time.Time, bytes int) bool {
+	if bu.liveness.Available(now, 0) < bytes || !bu.Take(now, bytes, 0) {
+		return false
+	}
+	return bu.liveness.Take(now, bytes, 0)
+}
+
 // Available returns how many message bytes could be sent now.
 func (bu *Bucket) Available(now time.Time, reserve int) int {
 	bu.fill(now)
--- a/internal/coordination/membership/node.go
+++ b/internal/coordination/membership/node.go
@@ -136,7 +136,7 @@
 	no := &Node{
 		rng:    rng,
 		self:   self,
-		bucket: delivery.NewBucket(delivery.BudgetBytesPerSecond, delivery.BudgetBurstBytes, now),
+		bucket: delivery.NewBudget(now),
 		roster: roster.New(),
 	}
 	for _, seed := range seeds {
--- a/internal/coordination/roster/announcer.go
+++ b/internal/coordination/roster/announcer.go
@@ -392,7 +392,7 @@
 		}
 	}
 	msg := Message{Heartbeat: he}
-	if !an.bucket.Take(now, msg.Size(), 0) {
+	if !an.bucket.TakeLiveness(now, msg.Size()) {
 		return acts
 	}
 	return append(acts, Send{To: to, Message: msg})
--- a/internal/coordination/roster/suspicion.go
+++ b/internal/coordination/roster/suspicion.go
@@ -102,7 +102,7 @@
 		wt.nextRecruit = wt.heard.Add(RecruitAfter)
 	}
 	if !now.Before(wt.nextSuspicion) {
-		wt.nextSuspicion = now.Add(SuspicionInterval)
+		wt.nextSuspicion = now.Add(wt.repeat(now))
 		acts = wa.tell(acts, wt, now)
 	}
 	if !now.Before(wt.nextRecruit) {
@@ -119,6 +119,16 @@
 	return wa.remove(acts, wt, voters)
 }
 
+// repeat returns the time to the next repeat of a suspicion, which grows with
+// its age.
+func (wt *watch) repeat(now time.Time) time.Duration {
+	if wt.suspected.IsZero() {
+		return SuspicionInterval
+	}
+	backedOff := now.Sub(wt.suspected) / suspicionBackOff
+	return min(max(backedOff, SuspicionInterval), suspicionIntervalMax)
+}
+
 // tell sends the suspicion to the subject and the other watchers.
 func (wa *Watcher) tell(acts []Action, wt *watch, now time.Time) []Action {
 	msg := Message{Suspicion: &Suspicion{
@@ -181,7 +191,7 @@
 		return acts
 	}
 	wt.votes = slices.DeleteFunc(wt.votes, func(vo vote) bool { return vo.watcher == from })
-	wt.votes = append(wt.votes, vote{watcher: from, deadline: now.Add(voteLifetime)})
+	wt.votes = append(wt.votes, vote{watcher: from, deadline: now.Add(voteRepeats * wt.repeat(now))})
 	return acts
 }
 
--- a/internal/coordination/roster/watcher.go
+++ b/internal/coordination/roster/watcher.go
@@ -17,10 +17,14 @@
 	SuspectAfter = 1500 * time.Millisecond
 	// RefuteWindow is the time that a suspected subject has to refute.
 	RefuteWindow = 800 * time.Millisecond
-	// SuspicionInterval is the time between repeats of a suspicion.
-	SuspicionInterval = 200 * time.Millisecond
-	// voteLifetime is how long the suspicion of another watcher counts.
-	voteLifetime = 700 * time.Millisecond
+	// SuspicionInterval is the time between the first repeats of a suspicion;
+	// later ones come after the age of the suspicion over suspicionBackOff.
+	SuspicionInterval    = 200 * time.Millisecond
+	suspicionIntervalMax = 2 * time.Second
+	suspicionBackOff     = 8
+	// voteRepeats is for how many repeats the suspicion of another watcher
+	// counts.
+	voteRepeats = 4
 	// RecruitAfter is the silence after which the watchers are completed.
 	RecruitAfter = 4 * time.Second
 	// recruitInterval is the time between repeats of a recruitment.
@@ -249,7 +253,7 @@
 
 // send appends the message if the budget allows it.
 func (wa *Watcher) send(acts []Action, to netip.AddrPort, msg Message, now time.Time) []Action {
-	if to == wa.self || !wa.bucket.Take(now, msg.Size(), 0) {
+	if to == wa.self || !wa.bucket.TakeLiveness(now, msg.Size()) {
 		return acts
 	}
 	return append(acts, Send{To: to, Message: msg})
