feat: balancers and agents join the fleet by gossip over links

Cause: agents announced to every seed twice a second, balancers did not know each other, and a host left the rotation by a timeout at each balancer alone. The shell drives the membership core over the mutual-TLS links; the thin path's announcement is gone. Frame overhead charged to the budget is now 56 bytes (sender's address, WebSocket frame, TLS record) instead of 30, the heartbeat every 500 ms instead of 400 to pay for it.

--- a/internal/coordination/delivery/bucket.go
+++ b/internal/coordination/delivery/bucket.go
@@ -15,8 +15,9 @@
 	// while many subjects are silent.
 	LivenessBytesPerSecond = 1300
 	LivenessBurstBytes     = 2600
-	// FrameOverheadBytes is added to each message for framing and TLS.
-	FrameOverheadBytes = 30
+	// FrameOverheadBytes is added to each message for the sender's address, the
+	// WebSocket frame and the TLS record.
+	FrameOverheadBytes = 56
 )
 
 // Bucket is a token bucket in bytes. The sum of all sends in any span of time
--- a/internal/coordination/membership/node.go
+++ b/internal/coordination/membership/node.go
@@ -250,6 +250,14 @@
 	return no.settle(acts, now)
 }
 
+// Failed tells that a message could not be sent to the peer.
+func (no *Node) Failed(peer netip.AddrPort, now time.Time) []Action {
+	if no.joiner == nil {
+		return nil
+	}
+	return no.settle(no.runTransfer(nil, no.joiner.Failed(peer, now), now), now)
+}
+
 // Tick sends what is due.
 func (no *Node) Tick(now time.Time) []Action {
 	no.roster.Tick(now)
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -225,6 +226,16 @@
 	return hosts
 }
 
+// Rotations returns the hosts of all services that take new work, by service
+// and address.
+func (ro *Roster) Rotations(now time.Time) []register.Host {
+	var hosts []register.Host
+	for _, service := range slices.Sorted(maps.Keys(ro.services)) {
+		hosts = append(hosts, ro.Rotation(service, now)...)
+	}
+	return hosts
+}
+
 // Hosts returns all hosts that still belong to the fleet, draining ones
 // included, by address.
 func (ro *Roster) Hosts(now time.Time) []register.Host {
--- a/internal/coordination/roster/watcher.go
+++ b/internal/coordination/roster/watcher.go
@@ -12,9 +12,9 @@
 // The pace of failure detection.
 const (
 	// HeartbeatInterval is the time between two heartbeats to one watcher.
-	HeartbeatInterval = 400 * time.Millisecond
+	HeartbeatInterval = 500 * time.Millisecond
 	// SuspectAfter is the silence after which a watcher suspects a subject.
-	SuspectAfter = 1500 * time.Millisecond
+	SuspectAfter = 1800 * time.Millisecond
 	// RefuteWindow is the time that a suspected subject has to refute.
 	RefuteWindow = 800 * time.Millisecond
 	// SuspicionInterval is the time between the first repeats of a suspicion;
--- a/internal/coordination/transfer/joiner.go
+++ b/internal/coordination/transfer/joiner.go
@@ -11,7 +11,7 @@
 // The patience of a joiner.
 const (
 	// DonorTimeout is the silence after which a donor is given up.
-	DonorTimeout = time.Second
+	DonorTimeout = 500 * time.Millisecond
 	// DonorRounds is how often all donors are tried before a node that heard
 	// of none takes itself for the first.
 	DonorRounds = 3
@@ -121,6 +121,19 @@
 	return jo.giveUp(now)
 }
 
+// Failed gives up the donor at once if it is the one that could not be reached;
+// after the last of a round it waits for the next tick that is due.
+func (jo *Joiner) Failed(peer netip.AddrPort, now time.Time) []Action {
+	if jo.done || jo.refused || peer != jo.donor {
+		return nil
+	}
+	jo.joining = 0
+	if (jo.tried+1)%len(jo.donors) == 0 {
+		return nil
+	}
+	return jo.giveUp(now)
+}
+
 // giveUp goes to the next donor, which continues from the same range.
 func (jo *Joiner) giveUp(now time.Time) []Action {
 	jo.tried++
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -24,9 +24,9 @@
 
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
-	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/fleet"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -34,8 +34,6 @@
 )
 
 const (
-	announceEvery   = 500 * time.Millisecond
-	announceTimeout = time.Second
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// initialPacketSize leaves room for the envelope on a path of 1,280 bytes.
@@ -62,12 +60,10 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	pool      *link.Pool
+	fleet     *fleet.Fleet
 	backend   *http.Client
 	abortOnce sync.Once
 	aborted   chan struct{}
-
-	mu     sync.Mutex
-	record register.Host
 }
 
 // Open takes the agent's addresses.
@@ -87,31 +83,42 @@
 	if ag.socket, err = socket.Listen(ctx, cfg.Datagrams, cfg.Workers); err != nil {
 		return nil, err
 	}
-	srv := &link.Server{Mux: link.NewMux(), Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
+	mux := link.NewMux()
+	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ag.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
 	}
 	if ag.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
-	ag.record = register.Host{
-		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1},
+	ag.openFleet(mux)
+	ag.openServer()
+	return ag, nil
+}
+
+// openFleet makes the host's record and its announcer.
+func (ag *Agent) openFleet(mux *link.Mux) {
+	ag.pool.Sent = func(bytes int) { ag.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
+	ag.fleet = fleet.OpenAgent(fleet.Config{
+		Pool:  ag.pool,
+		Board: ag.cfg.Board,
+		Seeds: ag.cfg.Seeds,
+	}, register.Host{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ag.socket.Address(),
 		Control:  ag.control.Address(),
 		Service:  ag.service,
-		Domain:   cfg.Domain,
-		State:    register.StateReady,
+		Domain:   ag.cfg.Domain,
 		Weight:   register.FullWeight,
-	}
-	ag.openServer()
-	return ag, nil
+	})
+	ag.fleet.Register(mux)
 }
 
 func (ag *Agent) openServer() {
 	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
 	la := &labeler{
 		codec: ag.labels,
-		place: label.Place{Service: ag.service, Host: ag.record.Address, Incarnation: uint16(ag.record.Incarnation)},
+		place: label.Place{Service: ag.service, Host: ag.Datagrams(), Incarnation: uint16(ag.fleet.Record().Incarnation)},
 	}
 	la.last.Store(startNonce())
 	ag.transport = &quic.Transport{
@@ -131,7 +138,7 @@
 }
 
 // Datagrams returns the address for enveloped datagrams.
-func (ag *Agent) Datagrams() netip.AddrPort { return ag.record.Address }
+func (ag *Agent) Datagrams() netip.AddrPort { return ag.socket.Address() }
 
 // Control returns the address for links.
 func (ag *Agent) Control() netip.AddrPort { return ag.control.Address() }
@@ -155,7 +162,7 @@
 	eg.Go(func() error { return ag.socket.Serve(ag.fromNetwork) })
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
-	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error { return ag.fleet.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
@@ -194,49 +201,10 @@
 	klog.InfoS("Agent stopping", "Deadline", deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	ag.advance(register.StateDraining)
-	ag.announceOnce(ctx)
+	ag.fleet.SetState(register.StateDraining)
 	if err := ag.server.Shutdown(ctx); err != nil {
 		klog.InfoS("Agent stopped with open requests", "Err", err)
 	}
-	ag.advance(register.StateGone)
-	ag.announceOnce(ctx)
-}
-
-func (ag *Agent) advance(st register.State) {
-	ag.mu.Lock()
-	defer ag.mu.Unlock()
-	ag.record.State = st
-	ag.record.Sequence++
-}
-
-func (ag *Agent) announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceEvery)
-	defer ticker.Stop()
-	for {
-		ag.announceOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-// announceOnce sends the host's record to every seed.
-func (ag *Agent) announceOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	ag.mu.Lock()
-	record := ag.record
-	ag.mu.Unlock()
-	var pending sync.WaitGroup
-	for _, seed := range ag.cfg.Seeds {
-		pending.Go(func() {
-			if err := ag.pool.Send(ctx, seed, message.KindAnnounce, record); err != nil {
-				klog.V(1).InfoS("Announcement failed", "Peer", seed, "Err", err)
-			}
-		})
-	}
-	pending.Wait()
+	ag.fleet.SetState(register.StateGone)
+	ag.fleet.Flush(ctx)
 }
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
@@ -78,7 +79,6 @@
 // Open takes the balancer's addresses.
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
 	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
-	ba.directory = newDirectory(ba)
 	ba.entrances = newEntrances(ba)
 	var err error
 	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
@@ -93,9 +93,7 @@
 	}
 	ba.answers = ba.hosts.Address()
 	ba.Apply(configurationOf(cfg.Services))
-	ba.directory.rebuild()
 	mux := link.NewMux()
-	ba.directory.register(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
@@ -103,6 +101,9 @@
 	if ba.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
+	ba.directory = newDirectory(ba)
+	ba.directory.fleet.Register(mux)
+	ba.directory.rebuild()
 	return ba, nil
 }
 
@@ -156,8 +157,7 @@
 	})
 	eg.Go(func() error { return ba.control.Run(serving) })
 	eg.Go(func() error { return ba.metrics.Run(serving) })
-	eg.Go(func() error { return ba.directory.run(serving) })
-	ba.cfg.Board.SetReady(true)
+	eg.Go(func() error { return ba.directory.fleet.Run(serving) })
 
 	select {
 	case <-ctx.Done():
@@ -170,6 +170,7 @@
 	ba.entrances.close()
 	ba.hosts.Close()
 	err := eg.Wait()
+	ba.directory.pool.Close()
 	klog.InfoS("Balancer stopped", "Hosts", ba.Hosts())
 	return err
 }
@@ -182,7 +183,9 @@
 // drain waits until no datagram has arrived for a while, at most until the deadline.
 func (ba *Balancer) drain(deadline time.Time) {
 	ba.cfg.Board.SetReady(false)
+	ba.directory.fleet.SetState(register.StateDraining)
 	klog.InfoS("Balancer stopping", "Deadline", deadline)
+	defer ba.depart(deadline)
 	last := ba.traffic()
 	quietAt := time.Now().Add(quietBeforeStop)
 	ticker := time.NewTicker(quietBeforeStop / 10)
@@ -198,6 +201,14 @@
 	}
 }
 
+// depart announces that the balancer is gone.
+func (ba *Balancer) depart(deadline time.Time) {
+	ba.directory.fleet.SetState(register.StateGone)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ba.directory.fleet.Flush(ctx)
+}
+
 func (ba *Balancer) traffic() int64 {
 	return ba.counts.forwarded.Count() + ba.counts.answered.Count()
 }
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -1,108 +1,68 @@
 package balancer
 
 import (
-	"context"
 	"net/netip"
-	"slices"
-	"sync"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
-	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
+	"corneltiller.dev/corneltiller/internal/transport/fleet"
 	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
-const (
-	hostLifetime   = 3 * time.Second
-	directoryCheck = 500 * time.Millisecond
-)
-
-// directory holds the hosts that have announced themselves.
+// directory keeps the steering function in step with the fleet's view.
 type directory struct {
 	balancer *Balancer
-
-	mu    sync.Mutex
-	hosts map[netip.AddrPort]known
-}
-
-// known is an announced host and when it is given up.
-type known struct {
-	host     register.Host
-	deadline time.Time
+	pool     *link.Pool
+	fleet    *fleet.Fleet
 }
 
+// newDirectory returns the directory of a balancer whose addresses are taken.
 func newDirectory(ba *Balancer) *directory {
-	return &directory{balancer: ba, hosts: make(map[netip.AddrPort]known)}
-}
-
-func (di *directory) register(mux *link.Mux) {
-	link.On(mux, message.KindAnnounce, func(_ context.Context, _ link.Peer, ho register.Host) (any, error) {
-		di.announce(time.Now(), ho)
-		return nil, nil
+	di := &directory{balancer: ba, pool: link.NewPool(ba.cfg.Material.PeerClientTLS())}
+	di.pool.Sent = func(bytes int) { ba.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
+	di.fleet = fleet.OpenBalancer(fleet.Config{
+		Pool:    di.pool,
+		Board:   ba.cfg.Board,
+		Seeds:   ba.cfg.Seeds,
+		Changed: di.rebuild,
+		Joined:  di.joined,
+	}, register.Balancer{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
+		Address:  ba.answers,
+		Control:  ba.Control(),
+		Domain:   ba.cfg.Domain,
 	})
+	return di
 }
 
-func (di *directory) announce(now time.Time, ho register.Host) {
-	di.mu.Lock()
-	old, ok := di.hosts[ho.Address]
-	newer := !ok || ho.Supersedes(old.host.Revision)
-	if newer || ho.Revision == old.host.Revision {
-		di.hosts[ho.Address] = known{host: ho, deadline: now.Add(hostLifetime)}
-	}
-	di.mu.Unlock()
-	if newer {
-		di.rebuild()
-	}
+// joined takes the balancer into service once its view is complete.
+func (di *directory) joined() {
+	di.rebuild()
+	di.fleet.SetState(register.StateReady)
+	di.balancer.cfg.Board.SetReady(true)
 }
 
 // KnownHosts returns the number of hosts that the balancer knows.
 func (ba *Balancer) KnownHosts() int {
-	ba.directory.mu.Lock()
-	defer ba.directory.mu.Unlock()
-	return len(ba.directory.hosts)
+	return len(ba.directory.fleet.Hosts())
 }
 
-func (di *directory) run(ctx context.Context) error {
-	ticker := time.NewTicker(directoryCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			if di.expire(now) {
-				di.rebuild()
-			}
-		}
-	}
-}
-
-func (di *directory) expire(now time.Time) bool {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	changed := false
-	for address, kn := range di.hosts {
-		if now.After(kn.deadline) {
-			delete(di.hosts, address)
-			changed = true
-		}
-	}
-	return changed
+// Fleet returns the balancer's membership.
+func (ba *Balancer) Fleet() *fleet.Fleet {
+	return ba.directory.fleet
 }
 
 // rebuild puts a steering function over the present hosts in force.
 func (di *directory) rebuild() {
-	di.mu.Lock()
+	di.steer(di.fleet.Rotations())
+}
+
+// steer puts a steering function over the hosts in force.
+func (di *directory) steer(hosts []register.Host) {
 	byService := make(map[register.ServiceID][]register.Host)
-	for _, kn := range di.hosts {
-		if kn.host.State.TakesNewWork() {
-			byService[kn.host.Service] = append(byService[kn.host.Service], kn.host)
-		}
-	}
-	di.mu.Unlock()
-	for _, hosts := range byService {
-		slices.SortFunc(hosts, func(a, b register.Host) int { return a.Address.Compare(b.Address) })
+	for _, ho := range hosts {
+		byService[ho.Service] = append(byService[ho.Service], ho)
 	}
 	steer := Steer(func(sv register.ServiceID, caller netip.AddrPort, chain *[envelope.MaxChain]envelope.Hop) uint8 {
 		hosts := byService[sv]
--- /dev/null
+++ b/internal/transport/fleet/sender.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/membership"
+	"corneltiller.dev/corneltiller/internal/protocol/message"
+)
+
+const (
+	// queueLength bounds the messages that wait for one peer.
+	queueLength = 64
+	// sendTimeout bounds one send, with opening the link.
+	sendTimeout = time.Second
+	// senderIdle is how long a sender without messages is kept.
+	senderIdle = time.Minute
+	// flushInterval is the time between two looks at the queues of a node
+	// that leaves.
+	flushInterval = 10 * time.Millisecond
+)
+
+// sender is the queue of one peer. Its goroutine sends until it has been idle
+// for a while.
+type sender struct {
+	fleet *Fleet
+	peer  netip.AddrPort
+
+	mu      sync.Mutex
+	queue   []membership.Message
+	sending bool
+	wake    chan struct{}
+}
+
+// send queues a message; it is called with Fleet.mu held.
+func (fl *Fleet) send(se membership.Send) {
+	sd := fl.senders[se.To]
+	if sd == nil {
+		sd = &sender{fleet: fl, peer: se.To, wake: make(chan struct{}, 1)}
+		fl.senders[se.To] = sd
+		fl.sending.Go(sd.run)
+	}
+	sd.add(se.Message)
+}
+
+// add queues a message and drops the oldest of a full queue.
+func (sd *sender) add(msg membership.Message) {
+	sd.mu.Lock()
+	if len(sd.queue) >= queueLength {
+		sd.queue = sd.queue[1:]
+		sd.fleet.cfg.Board.Count("MembershipMessagesDropped", 1)
+	}
+	sd.queue = append(sd.queue, msg)
+	sd.mu.Unlock()
+	select {
+	case sd.wake <- struct{}{}:
+	default:
+	}
+}
+
+// next takes the oldest message.
+func (sd *sender) next() (membership.Message, bool) {
+	sd.mu.Lock()
+	defer sd.mu.Unlock()
+	sd.sending = len(sd.queue) > 0
+	if !sd.sending {
+		return membership.Message{}, false
+	}
+	msg := sd.queue[0]
+	sd.queue = sd.queue[1:]
+	return msg, true
+}
+
+// drop forgets the queued messages.
+func (sd *sender) drop() {
+	sd.mu.Lock()
+	defer sd.mu.Unlock()
+	sd.queue = nil
+}
+
+// busy reports whether a message waits or is being sent.
+func (sd *sender) busy() bool {
+	sd.mu.Lock()
+	defer sd.mu.Unlock()
+	return sd.sending || len(sd.queue) > 0
+}
+
+// run sends the queue until the fleet closes or the peer is no longer used.
+func (sd *sender) run() {
+	idle := time.NewTimer(senderIdle)
+	defer idle.Stop()
+	for {
+		for msg, ok := sd.next(); ok; msg, ok = sd.next() {
+			sd.deliver(msg)
+			idle.Reset(senderIdle)
+		}
+		select {
+		case _, open := <-sd.wake:
+			if !open {
+				return
+			}
+		case <-idle.C:
+			if sd.retire() {
+				return
+			}
+			idle.Reset(senderIdle)
+		}
+	}
+}
+
+// deliver sends one message and tells the core when that failed.
+func (sd *sender) deliver(msg membership.Message) {
+	ctx, cancel := context.WithTimeout(sd.fleet.closing, sendTimeout)
+	defer cancel()
+	pa := parcel{From: sd.fleet.control, Message: msg}
+	err := sd.fleet.cfg.Pool.Send(ctx, sd.peer, message.KindMembership, pa)
+	if err == nil {
+		sd.fleet.cfg.Board.Count("MembershipMessagesSent", 1)
+		return
+	}
+	sd.fleet.cfg.Board.Count("MembershipSendsFailed", 1)
+	klog.V(1).InfoS("Membership message not sent", "Peer", sd.peer, "Err", err)
+	sd.fleet.do(func(no *membership.Node, now time.Time) []membership.Action {
+		return no.Failed(sd.peer, now)
+	})
+}
+
+// retire ends the sender unless a message came meanwhile.
+func (sd *sender) retire() bool {
+	fl := sd.fleet
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if fl.closed || sd.busy() {
+		return false
+	}
+	delete(fl.senders, sd.peer)
+	return true
+}
+
+// Flush waits until all queued messages were sent, at most until the context
+// ends.
+func (fl *Fleet) Flush(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for fl.pending() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pending reports whether any sender is busy.
+func (fl *Fleet) pending() bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, sd := range fl.senders {
+		if sd.busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// close ends all senders.
+func (fl *Fleet) close() {
+	fl.mu.Lock()
+	fl.closed = true
+	fl.cancel()
+	for _, sd := range fl.senders {
+		sd.drop()
+		close(sd.wake)
+	}
+	fl.mu.Unlock()
+	fl.sending.Wait()
+}
