Merge branch 'roster': membership by gossip over links

Balancers and agents advance their steering tables by the fleet's view, mapped through the configuration in force; an agent ends the flows of a host that its own view knows to be gone.

--- a/internal/coordination/membership/node.go
+++ b/internal/coordination/membership/node.go
@@ -136,7 +136,7 @@
 	no := &Node{
 		rng:    rng,
 		self:   self,
-		bucket: delivery.NewBucket(delivery.BudgetBytesPerSecond, delivery.BudgetBurstBytes, now),
+		bucket: delivery.NewBudget(now),
 		roster: roster.New(),
 	}
 	for _, seed := range seeds {
@@ -250,12 +250,20 @@
 	return no.settle(acts, now)
 }
 
+// Failed tells that a message could not be sent to the peer.
+func (no *Node) Failed(peer netip.AddrPort, now time.Time) []Action {
+	if no.joiner == nil {
+		return nil
+	}
+	return no.settle(no.runTransfer(nil, no.joiner.Failed(peer, now), now), now)
+}
+
 // Tick sends what is due.
 func (no *Node) Tick(now time.Time) []Action {
 	no.roster.Tick(now)
 	no.widen(now)
 	acts := no.runRoster(nil, no.announcer.Tick(now), now)
-	if no.watcher != nil {
+	if no.watcher != nil && no.joined() {
 		acts = no.runRoster(acts, no.watcher.Tick(now), now)
 	}
 	if no.joiner != nil {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -26,9 +26,9 @@
 	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
-	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/fleet"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
@@ -37,8 +37,6 @@
 )
 
 const (
-	announceEvery   = 500 * time.Millisecond
-	announceTimeout = time.Second
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// maxFlows bounds the flows that the agent knows, its own and others'.
@@ -62,24 +60,29 @@
 	envelopes *envelope.Codec
 	socket    *socket.Socket
 	relay     *relay
+	labeler   *labeler
 	transport *quic.Transport
 	server    *http3.Server
 	control   *link.Listener
 	metrics   *link.Listener
 	pool      *link.Pool
 	follower  *follower.Follower
+	fleet     *fleet.Fleet
 	backend   *http.Client
 	abortOnce sync.Once
 	aborted   chan struct{}
 	counts    counts
 	// connections is the number of open flows.
 	connections atomic.Int64
+	// table is the view of the service's hosts.
+	table atomic.Pointer[route.Table]
 
-	// Lock order: mu before flowsMu.
-	mu      sync.Mutex
-	record  register.Host
-	flowsMu sync.Mutex
-	flows   *route.FlowTable
+	// Lock order: viewMu before flowsMu.
+	viewMu sync.Mutex
+	// incarnation is the one that the host's record has.
+	incarnation uint64
+	flowsMu     sync.Mutex
+	flows       *route.FlowTable
 }
 
 // Open takes the agent's addresses.
@@ -108,36 +111,65 @@
 	if ag.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
-	ag.record = register.Host{
-		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1},
+	ag.openFleet(mux)
+	ag.openServer()
+	ag.follow(mux)
+	return ag, nil
+}
+
+// openFleet makes the host's record and its announcer.
+func (ag *Agent) openFleet(mux *link.Mux) {
+	ag.pool.Sent = func(bytes int) { ag.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
+	ag.table.Store(route.NewTable(ag.steeringKey(), time.Now(), nil))
+	ag.fleet = fleet.OpenAgent(fleet.Config{
+		Pool:    ag.pool,
+		Board:   ag.cfg.Board,
+		Seeds:   ag.cfg.Seeds,
+		Changed: ag.changed,
+	}, register.Host{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ag.socket.Address(),
 		Control:  ag.control.Address(),
 		Service:  ag.service,
-		Domain:   cfg.Domain,
-		State:    register.StateReady,
+		Domain:   ag.cfg.Domain,
 		Weight:   register.FullWeight,
-	}
-	ag.flows = route.NewFlowTable(ag.record, route.KeyOf(cfg.Material.Secret()), time.Now(), maxFlows)
-	ag.openServer()
-	ag.follow(mux)
-	return ag, nil
+	})
+	ag.fleet.Register(mux)
 }
 
 func (ag *Agent) openServer() {
 	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
-	la := &labeler{
-		codec: ag.labels,
-		place: label.Place{Service: ag.service, Host: ag.record.Address, Incarnation: uint16(ag.record.Incarnation)},
-	}
-	la.last.Store(startNonce())
+	ag.labeler = &labeler{codec: ag.labels}
+	ag.labeler.last.Store(startNonce())
+	ag.adopt(ag.fleet.Record())
 	ag.transport = &quic.Transport{
 		Conn:                  ag.relay,
-		ConnectionIDGenerator: la,
+		ConnectionIDGenerator: ag.labeler,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
 	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
 }
 
+// adopt takes an incarnation of the host's own record. The caller holds viewMu
+// or is alone.
+func (ag *Agent) adopt(record register.Host) {
+	ag.incarnation = record.Incarnation
+	ag.labeler.place.Store(&label.Place{
+		Service:     ag.service,
+		Host:        record.Address,
+		Incarnation: uint16(record.Incarnation),
+	})
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows = route.NewFlowTable(record, ag.steeringKey(), time.Now(), maxFlows)
+	ag.flows.SetConnections(int(ag.connections.Load()))
+}
+
+// steeringKey returns the key that balancers and agents share.
+func (ag *Agent) steeringKey() route.Key {
+	return route.KeyOf(ag.cfg.Material.Secret())
+}
+
 // countConnection tells the flow table how many flows are open.
 func (ag *Agent) countConnection(ctx context.Context, co *quic.Conn) context.Context {
 	ag.setConnections(ag.connections.Add(1))
@@ -160,7 +192,7 @@
 }
 
 // Datagrams returns the address for enveloped datagrams.
-func (ag *Agent) Datagrams() netip.AddrPort { return ag.record.Address }
+func (ag *Agent) Datagrams() netip.AddrPort { return ag.socket.Address() }
 
 // Control returns the address for links.
 func (ag *Agent) Control() netip.AddrPort { return ag.control.Address() }
@@ -186,7 +218,7 @@
 	})
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
-	eg.Go(func() error { return ag.announce(serving) })
+	eg.Go(func() error { return ag.fleet.Run(serving) })
 	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -226,59 +258,18 @@
 	klog.InfoS("Agent stopping", "Deadline", deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	ag.advance(register.StateDraining)
-	ag.announceOnce(ctx)
+	ag.fleet.SetState(register.StateDraining)
+	ag.changed()
 	if err := ag.server.Shutdown(ctx); err != nil {
 		klog.InfoS("Agent stopped with open requests", "Err", err)
 	}
 	// New flows come here until the last balancer knows that the host leaves.
 	socket.AwaitQuiet(ag.traffic, deadline)
-	ag.advance(register.StateGone)
-	ag.announceOnce(ctx)
+	ag.fleet.SetState(register.StateGone)
+	ag.fleet.Flush(ctx)
 }
 
 // traffic returns the number of callers' datagrams taken so far.
 func (ag *Agent) traffic() int64 {
 	return ag.counts.accepted.Count() + ag.counts.passed.Count()
 }
-
-func (ag *Agent) advance(st register.State) {
-	ag.mu.Lock()
-	defer ag.mu.Unlock()
-	ag.record.State = st
-	ag.record.Sequence++
-	ag.flowsMu.Lock()
-	defer ag.flowsMu.Unlock()
-	ag.flows.SetSelf(ag.record)
-}
-
-func (ag *Agent) announce(ctx context.Context) error {
-	ticker := time.NewTicker(announceEvery)
-	defer ticker.Stop()
-	for {
-		ag.announceOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-// announceOnce sends the host's record to every seed.
-func (ag *Agent) announceOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	ag.mu.Lock()
-	record := ag.record
-	ag.mu.Unlock()
-	var pending sync.WaitGroup
-	for _, seed := range ag.cfg.Seeds {
-		pending.Go(func() {
-			if err := ag.pool.Send(ctx, seed, message.KindAnnounce, record); err != nil {
-				klog.V(1).InfoS("Announcement failed", "Peer", seed, "Err", err)
-			}
-		})
-	}
-	pending.Wait()
-}
--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -56,25 +56,44 @@
 }
 
 // decide asks the flow table about a packet. A packet to a host that has left
-// is accepted: the QUIC server answers it with a stateless reset, which ends
-// the flow.
+// or to a former incarnation of this one is accepted: the QUIC server answers
+// it with a stateless reset, which ends the flow.
 func (ag *Agent) decide(pk route.Packet) route.Decision {
-	if pk.Routable && pk.Service == ag.service && ag.left(pk.Target) {
-		ag.counts.reset.Inc(1)
-		return route.Decision{Action: route.ActionAccept}
+	if pk.Routable && pk.Service == ag.service {
+		if pk.Target.Address == ag.Datagrams() {
+			return route.Decision{Action: route.ActionAccept}
+		}
+		if ag.table.Load().Left(ag.service, pk.Target) {
+			ag.counts.reset.Inc(1)
+			return route.Decision{Action: route.ActionAccept}
+		}
 	}
 	ag.flowsMu.Lock()
 	defer ag.flowsMu.Unlock()
 	return ag.flows.Decide(time.Now(), pk)
 }
 
-// left reports whether a host has left for good or started again, as far as
-// this agent knows.
-func (ag *Agent) left(ta route.Target) bool {
-	if ta.Address == ag.record.Address {
-		return ta.Incarnation != uint16(ag.record.Incarnation)
+// changed brings the hosts that changed into the table and the flow table.
+func (ag *Agent) changed() {
+	ag.viewMu.Lock()
+	defer ag.viewMu.Unlock()
+	now := time.Now()
+	ta := ag.table.Load()
+	hosts := ag.fleet.Project()
+	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
+	if len(hosts) > 0 || due {
+		ag.table.Store(ta.Next(now, hosts))
+	}
+	record := ag.fleet.Record()
+	if record.Incarnation != ag.incarnation {
+		ag.adopt(record)
+	}
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetSelf(record)
+	for _, ho := range hosts {
+		ag.flows.Observe(ho)
 	}
-	return false
 }
 
 // follow does what was decided.
@@ -119,7 +138,7 @@
 // labeler makes the connection IDs of the QUIC server.
 type labeler struct {
 	codec *label.Codec
-	place label.Place
+	place atomic.Pointer[label.Place]
 	last  atomic.Uint32
 }
 
@@ -129,7 +148,7 @@
 	if _, err := rand.Read(ra.Salt[:]); err != nil {
 		return quic.ConnectionID{}, err
 	}
-	id := la.codec.Encode(la.place, ra)
+	id := la.codec.Encode(*la.place.Load(), ra)
 	return quic.ConnectionIDFromBytes(id[:]), nil
 }
 
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -2,142 +2,131 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/register"
-	"corneltiller.dev/corneltiller/internal/transport/link"
+	"corneltiller.dev/corneltiller/internal/transport/fleet"
 )
 
 const (
-	hostLifetime   = 3 * time.Second
-	directoryCheck = 500 * time.Millisecond
+	tableCheck = 500 * time.Millisecond
 	// generationBits is the part of a table's sequence that counts configurations.
 	generationBits = 32
 )
 
-// directory holds the hosts that have announced themselves.
+// directory keeps the steering table in step with the fleet's view and the
+// configuration in force.
 type directory struct {
 	balancer *Balancer
+	fleet    *fleet.Fleet
 
-	mu    sync.Mutex
-	hosts map[netip.AddrPort]known
-
-	// tableMu orders the writers of the balancer's table. Lock order: tableMu
-	// before mu.
-	tableMu sync.Mutex
+	// mu orders the writers of the balancer's table.
+	mu sync.Mutex
+	// hosts are the records as the fleet's view last gave them.
+	hosts map[netip.AddrPort]register.Host
 	// generation counts the configurations applied.
 	generation uint64
 }
 
-// known is an announced host and when it is given up.
-type known struct {
-	host     register.Host
-	deadline time.Time
-}
-
+// newDirectory returns the directory of a balancer whose addresses are taken.
 func newDirectory(ba *Balancer) *directory {
-	return &directory{balancer: ba, hosts: make(map[netip.AddrPort]known)}
-}
-
-func (di *directory) register(mux *link.Mux) {
-	link.On(mux, message.KindAnnounce, func(_ context.Context, _ link.Peer, ho register.Host) (any, error) {
-		di.announce(time.Now(), ho)
-		return nil, nil
+	di := &directory{balancer: ba, hosts: make(map[netip.AddrPort]register.Host)}
+	di.fleet = fleet.OpenBalancer(fleet.Config{
+		Pool:    ba.pool,
+		Board:   ba.cfg.Board,
+		Seeds:   ba.cfg.Seeds,
+		Changed: di.changed,
+		Joined:  di.joined,
+	}, register.Balancer{
+		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
+		Address:  ba.answers,
+		Control:  ba.Control(),
+		Domain:   ba.cfg.Domain,
 	})
+	return di
 }
 
-func (di *directory) announce(now time.Time, ho register.Host) {
-	di.mu.Lock()
-	old, ok := di.hosts[ho.Address]
-	newer := !ok || ho.Supersedes(old.host.Revision)
-	if newer || ho.Revision == old.host.Revision {
-		di.hosts[ho.Address] = known{host: ho, deadline: now.Add(hostLifetime)}
-	}
-	di.mu.Unlock()
-	if newer {
-		di.advance(now, []register.Host{ho})
-	}
+// joined takes the balancer into service once its view is complete.
+func (di *directory) joined() {
+	di.changed()
+	di.fleet.SetState(register.StateReady)
+	di.balancer.cfg.Board.SetReady(true)
 }
 
 // KnownHosts returns the number of hosts that the balancer knows.
 func (ba *Balancer) KnownHosts() int {
-	ba.directory.mu.Lock()
-	defer ba.directory.mu.Unlock()
-	return len(ba.directory.hosts)
+	return len(ba.directory.fleet.Hosts())
 }
 
-// list returns the known hosts by address.
-func (di *directory) list() []register.Host {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	var hosts []register.Host
-	for _, kn := range di.hosts {
-		hosts = append(hosts, kn.host)
-	}
-	slices.SortFunc(hosts, func(a, b register.Host) int { return a.Address.Compare(b.Address) })
-	return hosts
+// Fleet returns the balancer's membership.
+func (ba *Balancer) Fleet() *fleet.Fleet {
+	return ba.directory.fleet
 }
 
+// run advances the table when one of its deadlines has passed.
 func (di *directory) run(ctx context.Context) error {
-	ticker := time.NewTicker(directoryCheck)
+	ticker := time.NewTicker(tableCheck)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			di.advance(now, di.expire(now))
+		case <-ticker.C:
+			di.changed()
 		}
 	}
 }
 
-// expire returns the records of the hosts that have fallen silent, as Gone.
-func (di *directory) expire(now time.Time) []register.Host {
+// changed brings the hosts that changed into the table.
+func (di *directory) changed() {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	var gone []register.Host
-	for address, kn := range di.hosts {
-		if now.After(kn.deadline) {
-			delete(di.hosts, address)
-			kn.host.State = register.StateGone
-			kn.host.Sequence++
-			gone = append(gone, kn.host)
+	di.advance(di.project())
+}
+
+// rebuild applies a new configuration to every known host.
+func (di *directory) rebuild() {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.generation++
+	di.project()
+	di.advance(slices.Collect(maps.Values(di.hosts)))
+}
+
+// project returns the hosts that changed and keeps their records.
+func (di *directory) project() []register.Host {
+	changed := di.fleet.Project()
+	for _, ho := range changed {
+		if ho.State == register.StateGone {
+			delete(di.hosts, ho.Address)
+			continue
 		}
+		di.hosts[ho.Address] = ho
 	}
-	return gone
+	return changed
 }
 
-// advance puts the table after the announced records in force.
-func (di *directory) advance(now time.Time, announced []register.Host) {
-	ba := di.balancer
-	di.tableMu.Lock()
-	defer di.tableMu.Unlock()
+// advance puts the table after the changed records in force. The caller holds mu.
+func (di *directory) advance(changed []register.Host) {
+	ba, now := di.balancer, time.Now()
 	ta := ba.table.Load()
 	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
-	if len(announced) == 0 && !due {
+	if len(changed) == 0 && !due {
 		return
 	}
-	effective := make([]register.Host, 0, len(announced))
-	for _, ho := range announced {
+	effective := make([]register.Host, 0, len(changed))
+	for _, ho := range changed {
 		effective = append(effective, di.effective(ho))
 	}
 	ba.table.Store(ta.Next(now, effective))
 }
 
-// rebuild applies a new configuration to every known host.
-func (di *directory) rebuild() {
-	di.tableMu.Lock()
-	di.generation++
-	di.tableMu.Unlock()
-	di.advance(time.Now(), di.list())
-}
-
 // effective returns the record as the configuration lets it count. Its sequence
-// also grows with each configuration. The caller holds tableMu.
+// also grows with each configuration. The caller holds mu.
 func (di *directory) effective(ho register.Host) register.Host {
 	weight := di.balancer.weight(ho)
 	ho.Sequence = ho.Sequence<<generationBits | di.generation
--- a/internal/transport/balancer/forward.go
+++ b/internal/transport/balancer/forward.go
@@ -9,7 +9,6 @@
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/frame"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
-	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
@@ -72,7 +71,7 @@
 			ba.counts.wrongService.Inc(1)
 			return false
 		}
-		if !left(ta, pl) {
+		if !ta.Left(pl.Service, route.Target{Address: pl.Host, Incarnation: pl.Incarnation}) {
 			en.Chain = route.Chain{Count: 1, Asked: 1}
 			en.Chain.Hosts[0] = route.Candidate{Address: pl.Host, Incarnation: uint64(pl.Incarnation)}
 			return true
@@ -90,21 +89,6 @@
 	return true
 }
 
-// left reports whether the host that a connection ID names is known to have
-// stopped for good or to have started again. Any agent may then end the flow.
-func left(ta *route.Table, pl label.Place) bool {
-	_, re := ta.Resolve(pl.Service, pl.Host, pl.Incarnation)
-	switch re {
-	case route.ReasonStaleIncarnation, route.ReasonWrongService:
-		return true
-	case route.ReasonUnknownTarget:
-		ho, known := ta.Locate(pl.Host)
-		return known && ho.State == register.StateGone
-	default:
-		return false
-	}
-}
-
 func (fo *forwarder) send(wo *socket.Worker, payload []byte) {
 	ba, en := fo.balancer, &fo.envelope
 	datagram, err := ba.envelopes.Append(wo.Scratch[:0], en, payload)
