--- a/spec/suspicion.pml
+++ b/spec/suspicion.pml
@@ -6,13 +6,14 @@
  * run:    safety
  * run:    safety -DTWO_LOST_LINKS
  * run:    progress:removed -DCRASHES
+ * run:    progress:removed -DCRASHES -DDEAD_WATCHER
  * run:    progress:returned -DPAUSES
  * mutant: safety -DMINORITY
  * mutant: safety -DOLD_VOTES
  * mutant: safety -DNO_REFUTATION
  * mutant: safety -DNO_GRACE
  * mutant: progress:removed -DCRASHES -DSPLIT_VOTES
- * mutant: progress:removed -DCRASHES -DUNANIMOUS
+ * mutant: progress:removed -DCRASHES -DDEAD_WATCHER -DUNANIMOUS
  * mutant: progress:returned -DPAUSES -DNO_REFUTATION
  */
 #define WATCHERS 3
@@ -60,9 +61,15 @@
   fi
 }
 
+#ifdef DEAD_WATCHER
+#define WATCHES(wa) (wa != 0)
+#else
+#define WATCHES(wa) true
+#endif
+
 inline suspect(wa) {
   if
-  :: silent[wa] == PATIENCE && !suspects[wa] -> suspects[wa] = true; votes[wa] = known[wa]
+  :: WATCHES(wa) && silent[wa] == PATIENCE && !suspects[wa] -> suspects[wa] = true; votes[wa] = known[wa]
   :: else
   fi;
   /* the host hears of it, unless that is lost, and refutes */
@@ -192,6 +199,6 @@
 }
 
 /* Progress: a crashed host is removed, or it never crashes. */
-ltl removed { [] (crashed -> <> (removedAt == sequence)) }
+ltl removed { [] (crashed -> <> (removedAt == newest)) }
 /* Progress: a host that was removed while paused comes back. */
 ltl returned { [] ((removedAt == sequence && !paused) -> <> (BELIEVED_ALIVE)) }
