--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -40,19 +40,15 @@
 }
 
 // holders returns the agents that may hold the ledger of the home: the home
-// itself while it lives, then its successors.
+// itself while there is an agent at its address, then its successors.
 func (pt *peerTable) holders(home ledger.Home) []netip.AddrPort {
 	var hosts []netip.AddrPort
 	for _, pe := range pt.all {
-		if pe.Host == home.Host && pe.Incarnation == home.Incarnation {
+		if pe.Host == home.Host {
 			hosts = append(hosts, pe.Host)
 		}
 	}
-	for _, ho := range pt.successors(home) {
-		if !slices.Contains(hosts, ho) {
-			hosts = append(hosts, ho)
-		}
-	}
+	hosts = append(hosts, pt.successors(home)...)
 	return hosts[:min(len(hosts), holderLimit)]
 }
 
