--- /dev/null
+++ b/internal/coordination/dispatch/bench_test.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/ledger"
+)
+
+// BenchmarkRequest measures the decisions about one request that runs at once.
+func BenchmarkRequest(b *testing.B) {
+	for _, repeatable := range []bool{true, false} {
+		name := "Booking"
+		if repeatable {
+			name = "Status"
+		}
+		b.Run(name, func(b *testing.B) { benchmarkRequest(b, repeatable) })
+	}
+}
+
+// benchmarkRequest lets a desk decide about requests one after another.
+func benchmarkRequest(b *testing.B, repeatable bool) {
+	home := ledger.Home{Host: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
+	de := NewDesk(start, Settings{Home: home, Slots: 2, Limits: ledger.DefaultLimits()})
+	now := start
+	id := RequestID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now = now.Add(10 * time.Millisecond)
+		re := Request{ID: id, Caller: netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), Deadline: now.Add(patience), Repeatable: repeatable}
+		if !repeatable {
+			re.Ticket = de.ledger.Issue(now)
+		}
+		de.Handle(now, Arrived{Request: re})
+		de.Handle(now.Add(time.Millisecond), Executed{ID: id, Result: ResultWhole, Answer: ledger.Answer{Status: 200}})
+	}
+}
