fix: the concurrency limit recovers at once after a brown-out

Cause: a trial of a lower limit that overlapped the end of a brown-out took the server's recovery for help and kept half of the slots for 5 s.

--- a/cmd/call.go
+++ b/cmd/call.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-faster/errors"
 
+	"corneltiller.dev/corneltiller/internal/protocol/outcome"
+	"corneltiller.dev/corneltiller/internal/state/ledger"
 	"corneltiller.dev/corneltiller/internal/transport/caller"
 )
 
@@ -76,14 +78,28 @@
 	}
 	answer, err := ca.Do(re)
 	if err != nil {
-		return err
+		return &exitError{code: ExitUnknown, err: err}
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
-		return errors.Wrap(err, "read answer")
+		return &exitError{code: ExitUnknown, err: errors.Wrap(err, "read answer")}
 	}
 	fmt.Fprintf(ru.out, "%s %s\n", answer.Status, body)
+	return judge(answer)
+}
+
+// judge returns the error that the outcome of a request stands for. An answer
+// without an outcome did not come from an agent and proves nothing.
+func judge(answer *http.Response) error {
+	ou, ok := outcome.Read(answer.Header)
+	if !ok || ou == ledger.Unknown {
+		err := errors.Errorf("outcome unknown: %s", answer.Header.Get(outcome.HeaderReason))
+		return &exitError{code: ExitUnknown, err: err}
+	}
+	if ou == ledger.NotRun {
+		return errors.Errorf("not run: %s", answer.Header.Get(outcome.HeaderReason))
+	}
 	if answer.StatusCode >= http.StatusBadRequest {
 		return errors.Errorf("service answered %s", answer.Status)
 	}
--- a/internal/coordination/dispatch/limiter.go
+++ b/internal/coordination/dispatch/limiter.go
@@ -9,12 +9,22 @@
 const (
 	// limiterSamples is the number of service times in one comparison.
 	limiterSamples = 32
+	// judgeSamples is the number of service times that judge a lower limit.
+	judgeSamples = 12
+	// keepTime is how long a lower limit that proved better is kept before all
+	// slots are tried again.
+	keepTime = time.Second
+	// longestKeep bounds the doubling of keepTime.
+	longestKeep = 16 * time.Second
+	// adoptWeight is the inverse weight of a lasting slowness in the ordinary
+	// service time.
+	adoptWeight = 8
 	// slowFactor is the growth of the median service time that counts as slow.
 	slowFactor = 3
 	// contentionFactor is the share of the slow median that a lower limit must
 	// reach to be kept, in percent.
 	contentionFactor = 60
-	// trialPause is the time between two trials of a lower limit.
+	// trialPause is the time after a trial of a lower limit that did not help.
 	trialPause = 5 * time.Second
 	// rampTime is how long a started backend server runs below its slots.
 	rampTime = 2 * time.Second
@@ -38,6 +48,8 @@
 	samples []time.Duration
 	trialAt time.Time
 	keepEnd time.Time
+	// keep is how long the next lower limit is kept if it helps.
+	keep time.Duration
 }
 
 // NewLimiter returns a limiter of a backend server that starts now.
@@ -47,6 +59,7 @@
 		limit:   slots,
 		rampEnd: now.Add(rampTime),
 		mean:    firstEstimate,
+		keep:    keepTime,
 	}
 }
 
@@ -79,7 +92,7 @@
 func (li *Limiter) Observe(now time.Time, took time.Duration) {
 	li.mean += (took - li.mean) / meanWeight
 	li.samples = append(li.samples, took)
-	if len(li.samples) < limiterSamples {
+	if len(li.samples) < li.needed() {
 		return
 	}
 	slices.Sort(li.samples)
@@ -88,6 +101,14 @@
 	li.compare(now, median)
 }
 
+// needed returns the number of samples in the next comparison.
+func (li *Limiter) needed() int {
+	if li.limit < li.slots {
+		return judgeSamples
+	}
+	return limiterSamples
+}
+
 // compare adjusts the limit to the median of the latest samples.
 func (li *Limiter) compare(now time.Time, median time.Duration) {
 	if li.limit < li.slots {
@@ -97,20 +118,31 @@
 	if li.best == 0 || median < li.best {
 		li.best = median
 	}
-	li.best += (median - li.best) / limiterSamples
-	if median < li.best*slowFactor || now.Before(li.trialAt) || li.slots == 1 {
+	if median < li.best*slowFactor {
+		li.best += (median - li.best) / limiterSamples
+		li.keep = keepTime
+		return
+	}
+	if now.Before(li.trialAt) || li.slots == 1 {
 		return
 	}
 	li.slow = median
 	li.limit--
-	li.keepEnd = now.Add(trialPause)
+	li.keepEnd = now.Add(li.keep)
 }
 
-// judge decides whether a lowered limit stays.
+// judge decides whether a lowered limit stays. One that helps is kept twice as
+// long the next time.
 func (li *Limiter) judge(now time.Time, median time.Duration) {
-	if median*100 <= li.slow*contentionFactor && now.Before(li.keepEnd) {
+	helped := median*100 <= li.slow*contentionFactor
+	if helped && now.Before(li.keepEnd) {
 		return
 	}
 	li.limit = li.slots
+	if helped {
+		li.keep = min(2*li.keep, longestKeep)
+		return
+	}
 	li.trialAt = now.Add(trialPause)
+	li.best += (median - li.best) / adoptWeight
 }
--- a/internal/standin/queueing/queueing_test.go
+++ b/internal/standin/queueing/queueing_test.go
@@ -59,8 +59,14 @@
 // BenchmarkBrownOut measures the recovery from ten seconds in which each
 // service time is five times as long, while callers repeat refused requests.
 func BenchmarkBrownOut(b *testing.B) {
-	measure(b, Workload{
-		Hosts: 7, Slots: 2, Load: 0.8, Span: 40 * time.Second, Seed: 7, Retries: true,
-		BrownOut: 5, BrownOutStart: 15 * time.Second, BrownOutEnd: 25 * time.Second,
-	}, PolicyAgents)
+	for _, hosts := range []int{7, 3} {
+		for seed := uint64(7); seed < 10; seed++ {
+			b.Run(fmt.Sprintf("%dx2/Seed%d", hosts, seed), func(b *testing.B) {
+				measure(b, Workload{
+					Hosts: hosts, Slots: 2, Load: 0.8, Span: 40 * time.Second, Seed: seed, Retries: true,
+					BrownOut: 5, BrownOutStart: 15 * time.Second, BrownOutEnd: 25 * time.Second,
+				}, PolicyAgents)
+			})
+		}
+	}
 }
--- a/internal/transport/caller/tickets.go
+++ b/internal/transport/caller/tickets.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -97,7 +98,14 @@
 			if !pause(re) {
 				return nil, err
 			}
-		case refusedForTicket(answer):
+		case refusedBy(answer, dispatch.ReasonDraining):
+			// The ticket is final as not run; another flow leads elsewhere.
+			if !pause(re) {
+				return answer, nil
+			}
+			answer.Body.Close()
+			token = ti.take()
+		case refusedBy(answer, dispatch.ReasonTicketRequired, dispatch.ReasonTicketRefused):
 			next := ti.take()
 			if next == "" {
 				return answer, nil
@@ -121,18 +129,14 @@
 	return out
 }
 
-// refusedForTicket reports whether the request did not run and may run with
-// another ticket.
-func refusedForTicket(answer *http.Response) bool {
+// refusedBy reports whether the request did not run for one of the reasons.
+func refusedBy(answer *http.Response, reasons ...dispatch.Reason) bool {
 	if ou, ok := outcome.Read(answer.Header); !ok || ou != ledger.NotRun {
 		return false
 	}
-	switch answer.Header.Get(outcome.HeaderReason) {
-	case dispatch.ReasonTicketRequired.String(), dispatch.ReasonTicketRefused.String():
-		return true
-	default:
-		return false
-	}
+	return slices.ContainsFunc(reasons, func(re dispatch.Reason) bool {
+		return answer.Header.Get(outcome.HeaderReason) == re.String()
+	})
 }
 
 // pause waits before a repeat. It reports false if the request was canceled.
