--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -28,6 +28,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/desk"
 	"corneltiller.dev/corneltiller/internal/transport/fleet"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
@@ -37,6 +38,7 @@
 )
 
 const (
+	loadCheck = 500 * time.Millisecond
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// maxFlows bounds the flows that the agent knows, its own and others'.
@@ -68,7 +70,7 @@
 	pool      *link.Pool
 	follower  *follower.Follower
 	fleet     *fleet.Fleet
-	backend   *http.Client
+	desk      *desk.Desk
 	abortOnce sync.Once
 	aborted   chan struct{}
 	counts    counts
@@ -92,7 +94,6 @@
 		service:   register.ServiceID(cfg.Service),
 		envelopes: envelope.NewCodec(cfg.Material.Secret()),
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
-		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		aborted:   make(chan struct{}),
 		counts:    newCounts(cfg.Board),
 	}
@@ -112,6 +113,7 @@
 		return nil, err
 	}
 	ag.openFleet(mux)
+	ag.openDesk(mux, ag.fleet.Record())
 	ag.openServer()
 	ag.follow(mux)
 	return ag, nil
@@ -147,7 +149,7 @@
 		ConnectionIDGenerator: ag.labeler,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
-	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+	ag.server = &http3.Server{Handler: ag.desk, ConnContext: ag.countConnection}
 }
 
 // adopt takes an incarnation of the host's own record. The caller holds viewMu
@@ -219,6 +221,7 @@
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.fleet.Run(serving) })
+	eg.Go(func() error { return ag.announceLoad(serving) })
 	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -241,6 +244,7 @@
 	ag.relay.Close()
 	ag.socket.Close()
 	ag.pool.Close()
+	ag.desk.Close()
 	err = eg.Wait()
 	klog.InfoS("Agent stopped", "Datagrams", ag.Datagrams())
 	return err
@@ -260,15 +264,33 @@
 	defer cancel()
 	ag.fleet.SetState(register.StateDraining)
 	ag.changed()
+	stopped := ag.stopDesk(deadline)
 	if err := ag.server.Shutdown(ctx); err != nil {
-		klog.InfoS("Agent stopped with open requests", "Err", err)
+		klog.InfoS("Agent stopped with open flows", "Err", err)
 	}
+	<-stopped
 	// New flows come here until the last balancer knows that the host leaves.
 	socket.AwaitQuiet(ag.traffic, deadline)
 	ag.fleet.SetState(register.StateGone)
 	ag.fleet.Flush(ctx)
 }
 
+// announceLoad tells the fleet how busy the backend server is, and brings the
+// table over its deadlines.
+func (ag *Agent) announceLoad(ctx context.Context) error {
+	ticker := time.NewTicker(loadCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			ag.fleet.SetLoad(ag.desk.Load())
+			ag.changed()
+		}
+	}
+}
+
 // traffic returns the number of callers' datagrams taken so far.
 func (ag *Agent) traffic() int64 {
 	return ag.counts.accepted.Count() + ag.counts.passed.Count()
