--- a/internal/coordination/roster/join.go
+++ b/internal/coordination/roster/join.go
@@ -43,10 +43,12 @@
 		me.Control != newer.Control || me.Host.Service != newer.Host.Service
 	if moved {
 		ro.unindex(me)
+		ro.dirty[me.Host.Service] = struct{}{}
 	}
 	newer.Removal = me.Removal
 	newer.RemovedAt = me.RemovedAt
 	newer.DistrustDeadline = me.DistrustDeadline
+	newer.shown = me.shown
 	*me = newer
 	if moved {
 		ro.index(me)
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -62,6 +62,8 @@
 	RemovedAt time.Time
 	// DistrustDeadline is when a distrusted removal takes effect.
 	DistrustDeadline time.Time
+	// shown is what Project returned last.
+	shown shown
 }
 
 // removed reports whether the newest removal covers the newest record.
@@ -102,6 +104,7 @@
 	changes   uint64
 	// balancerChanges counts those changes that concern balancers.
 	balancerChanges uint64
+	projection
 }
 
 // New returns an empty view.
@@ -111,6 +114,8 @@
 		services: make(map[register.ServiceID][]*Member),
 		domains:  make(map[string][]*Member),
 		controls: make(map[netip.AddrPort]*Member),
+
+		projection: projection{dirty: make(map[register.ServiceID]struct{})},
 	}
 }
 
@@ -130,7 +135,9 @@
 	ro.changes++
 	if me.Role == RoleBalancer {
 		ro.balancerChanges++
+		return
 	}
+	ro.dirty[me.Host.Service] = struct{}{}
 }
 
 // Apply joins an item into the view and reports whether the view changed. It
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/register"
@@ -36,6 +38,8 @@
 const (
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
+	// maxFlows bounds the flows that the agent knows, its own and others'.
+	maxFlows = 1 << 17
 	// initialPacketSize leaves room for the envelope on a path of 1,280 bytes.
 	initialPacketSize = 1200
 )
@@ -49,21 +53,29 @@
 
 // Agent serves one backend server.
 type Agent struct {
-	cfg       Config
-	service   register.ServiceID
-	labels    *label.Codec
-	envelopes *envelope.Codec
-	socket    *socket.Socket
-	relay     *relay
-	transport *quic.Transport
-	server    *http3.Server
-	control   *link.Listener
-	metrics   *link.Listener
-	pool      *link.Pool
-	fleet     *fleet.Fleet
-	backend   *http.Client
-	abortOnce sync.Once
-	aborted   chan struct{}
+	cfg     Config
+	service register.ServiceID
+	// incarnation is the low part of the record's, as envelopes carry it.
+	incarnation uint16
+	labels      *label.Codec
+	envelopes   *envelope.Codec
+	socket      *socket.Socket
+	relay       *relay
+	transport   *quic.Transport
+	server      *http3.Server
+	control     *link.Listener
+	metrics     *link.Listener
+	pool        *link.Pool
+	fleet       *fleet.Fleet
+	backend     *http.Client
+	abortOnce   sync.Once
+	aborted     chan struct{}
+	counts      counts
+	// connections is the number of open flows.
+	connections atomic.Int64
+
+	flowsMu sync.Mutex
+	flows   *route.FlowTable
 }
 
 // Open takes the agent's addresses.
@@ -75,6 +87,7 @@
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
 		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		aborted:   make(chan struct{}),
+		counts:    newCounts(cfg.Board),
 	}
 	var err error
 	if ag.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
@@ -96,13 +109,14 @@
 	return ag, nil
 }
 
-// openFleet makes the host's record and its announcer.
+// openFleet makes the host's record, its announcer and the flow table.
 func (ag *Agent) openFleet(mux *link.Mux) {
 	ag.pool.Sent = func(bytes int) { ag.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
 	ag.fleet = fleet.OpenAgent(fleet.Config{
-		Pool:  ag.pool,
-		Board: ag.cfg.Board,
-		Seeds: ag.cfg.Seeds,
+		Pool:    ag.pool,
+		Board:   ag.cfg.Board,
+		Seeds:   ag.cfg.Seeds,
+		Changed: ag.update,
 	}, register.Host{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ag.socket.Address(),
@@ -112,13 +126,30 @@
 		Weight:   register.FullWeight,
 	})
 	ag.fleet.Register(mux)
+	self := ag.fleet.Record()
+	self.State = register.StateWarming
+	ag.incarnation = uint16(self.Incarnation)
+	ag.flows = route.NewFlowTable(self, route.KeyOf(ag.cfg.Material.Secret()), time.Now(), maxFlows)
+}
+
+// update tells the flow table what the fleet's view says of this host and of
+// the others of its service.
+func (ag *Agent) update() {
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetSelf(ag.fleet.Record())
+	for _, ho := range ag.fleet.Project() {
+		if ho.Address != ag.Datagrams() {
+			ag.flows.Observe(ho)
+		}
+	}
 }
 
 func (ag *Agent) openServer() {
 	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
 	la := &labeler{
 		codec: ag.labels,
-		place: label.Place{Service: ag.service, Host: ag.Datagrams(), Incarnation: uint16(ag.fleet.Record().Incarnation)},
+		place: label.Place{Service: ag.service, Host: ag.Datagrams(), Incarnation: ag.incarnation},
 	}
 	la.last.Store(startNonce())
 	ag.transport = &quic.Transport{
@@ -126,7 +157,20 @@
 		ConnectionIDGenerator: la,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
-	ag.server = &http3.Server{Handler: ag}
+	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+}
+
+// countConnection tells the flow table how many flows are open.
+func (ag *Agent) countConnection(ctx context.Context, co *quic.Conn) context.Context {
+	ag.setConnections(ag.connections.Add(1))
+	context.AfterFunc(co.Context(), func() { ag.setConnections(ag.connections.Add(-1)) })
+	return ctx
+}
+
+func (ag *Agent) setConnections(count int64) {
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows.SetConnections(int(count))
 }
 
 // resetKey returns the key of the stateless reset tokens (RFC 9000, section
@@ -159,7 +203,9 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	eg, serving := errgroup.WithContext(serving)
-	eg.Go(func() error { return ag.socket.Serve(ag.fromNetwork) })
+	eg.Go(func() error {
+		return ag.socket.ServeEach(func() socket.Handler { return ag.newReceiver().fromNetwork })
+	})
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.fleet.Run(serving) })
@@ -202,9 +248,17 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	ag.fleet.SetState(register.StateDraining)
+	ag.update()
 	if err := ag.server.Shutdown(ctx); err != nil {
 		klog.InfoS("Agent stopped with open requests", "Err", err)
 	}
+	// New flows come here until the last balancer knows that the host leaves.
+	socket.AwaitQuiet(ag.traffic, deadline)
 	ag.fleet.SetState(register.StateGone)
 	ag.fleet.Flush(ctx)
 }
+
+// traffic returns the number of callers' datagrams taken so far.
+func (ag *Agent) traffic() int64 {
+	return ag.counts.accepted.Count() + ag.counts.passed.Count()
+}
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -1,16 +1,18 @@
 package balancer
 
 import (
-	"net/netip"
+	"context"
 	"time"
 
-	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/fleet"
 	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
-// directory keeps the steering function in step with the fleet's view.
+// directoryCheck is the time between two looks at the table's deadline.
+const directoryCheck = 500 * time.Millisecond
+
+// directory keeps the steering table in step with the fleet's view.
 type directory struct {
 	balancer *Balancer
 	pool     *link.Pool
@@ -25,7 +27,7 @@
 		Pool:    di.pool,
 		Board:   ba.cfg.Board,
 		Seeds:   ba.cfg.Seeds,
-		Changed: di.rebuild,
+		Changed: di.update,
 		Joined:  di.joined,
 	}, register.Balancer{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
@@ -38,7 +40,7 @@
 
 // joined takes the balancer into service once its view is complete.
 func (di *directory) joined() {
-	di.rebuild()
+	di.update()
 	di.fleet.SetState(register.StateReady)
 	di.balancer.cfg.Board.SetReady(true)
 }
@@ -53,25 +55,37 @@
 	return ba.directory.fleet
 }
 
-// rebuild puts a steering function over the present hosts in force.
-func (di *directory) rebuild() {
-	di.steer(di.fleet.Rotations())
+// run follows the fleet's view until the context ends.
+func (di *directory) run(ctx context.Context) error {
+	ticker := time.NewTicker(directoryCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			di.update()
+		}
+	}
 }
 
-// steer puts a steering function over the hosts in force.
-func (di *directory) steer(hosts []register.Host) {
-	byService := make(map[register.ServiceID][]register.Host)
-	for _, ho := range hosts {
-		byService[ho.Service] = append(byService[ho.Service], ho)
+// update puts the table after the changes of the view in force. The lock is
+// held from the reading to the storing, so that changes are put in force in
+// their order.
+func (di *directory) update() {
+	ba := di.balancer
+	ba.tableMu.Lock()
+	defer ba.tableMu.Unlock()
+	di.advance(time.Now(), di.fleet.Project())
+}
+
+// advance puts the table after the announced records in force. It is called
+// with Balancer.tableMu held.
+func (di *directory) advance(now time.Time, announced []register.Host) {
+	ba := di.balancer
+	ta := ba.table.Load()
+	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
+	if len(announced) > 0 || due {
+		ba.table.Store(ta.Next(now, announced))
 	}
-	steer := Steer(func(sv register.ServiceID, caller netip.AddrPort, chain *[envelope.MaxChain]envelope.Hop) uint8 {
-		hosts := byService[sv]
-		if len(hosts) == 0 {
-			return 0
-		}
-		ho := hosts[int(caller.Port())%len(hosts)]
-		chain[0] = envelope.Hop{Address: ho.Address, Incarnation: uint16(ho.Incarnation)}
-		return 1
-	})
-	di.balancer.steer.Store(&steer)
 }
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -225,6 +225,14 @@
 	return fl.node.Roster().Rotations(time.Now())
 }
 
+// Project returns the hosts that changed since the last call, removed ones as
+// Gone, for a table that is advanced by records.
+func (fl *Fleet) Project() []register.Host {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return fl.node.Roster().Project(time.Now())
+}
+
 // Hosts returns all hosts that belong to the fleet, draining ones included.
 func (fl *Fleet) Hosts() []register.Host {
 	fl.mu.Lock()
