--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -238,3 +238,19 @@
 		}
 	})
 }
+
+func TestWatchersDieWithTheirHost(t *testing.T) {
+	Convey("A host that dies together with two of its watchers is removed", t, func() {
+		fl := New(Options{Balancers: 9, Hosts: 12, Domains: 9, Seed: 12})
+		fl.Run(2 * time.Second)
+		victim := fl.Hosts[0]
+		for _, pe := range victim.Core.Announcer().Watchers()[:2] {
+			fl.Crash(fl.nodes[pe.Address])
+		}
+		fl.Crash(victim)
+		_, ok := fl.RunUntil(20*time.Second, time.Second, func() bool {
+			return fl.everyBalancer(func(nd *Node) bool { return fl.sees(nd, victim) == roster.StandingRemoved })
+		})
+		So(ok, ShouldBeTrue)
+	})
+}
