--- a/internal/coordination/route/decide.go
+++ b/internal/coordination/route/decide.go
@@ -1,10 +1,14 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
 
 // passage is one packet on its way through a decision.
 type passage struct {
-	*Packet
+	Packet
 	now int64
 	key uint64
 	// known is what the agent knew of the flow, and of whom.
@@ -21,14 +25,14 @@
 		return drop(ReasonWrongService)
 	}
 	if pk.Routable {
-		return fl.decideRoutable(&pk)
+		return fl.decideRoutable(pk)
 	}
 	if re := fl.check(&pk); re != ReasonNone {
 		return drop(re)
 	}
 	fl.learnPressure(instant, &pk)
 
-	pa := passage{Packet: &pk, now: instant, key: fl.key.flow(pk.Caller, pk.ID)}
+	pa := passage{Packet: pk, now: instant, key: fl.key.flow(pk.Caller, pk.ID)}
 	at, ok := fl.find(instant, pa.key)
 	if ok {
 		fw := &fl.flows[at]
@@ -67,7 +71,7 @@
 
 // decideRoutable handles a packet whose connection ID names a host. One of
 // another host is passed on once, straight to it.
-func (fl *FlowTable) decideRoutable(pk *Packet) Decision {
+func (fl *FlowTable) decideRoutable(pk Packet) Decision {
 	if pk.Target.Address == fl.self.Address {
 		if pk.Target.Incarnation != fl.self.tag() {
 			return drop(ReasonStaleIncarnation)
@@ -108,7 +112,7 @@
 		// Each of the two asked the other and neither holds the flow.
 		return fl.breakTie(pa)
 	case promised:
-		return fl.send(pa, pa.peer, RequestOpen)
+		return fl.leave(pa)
 	case offered:
 		return fl.send(pa, pa.peer, RequestOffer)
 	default:
@@ -116,11 +120,13 @@
 	}
 }
 
-// askNext asks the next candidate; the last one hands the packet back to the
-// first.
+// askNext asks the next candidate that isn't known to be gone; the last one
+// hands the packet back to the first.
 func (fl *FlowTable) askNext(pa *passage) Decision {
-	if next := pa.Index + 1; next < pa.Chain.Asked {
-		return fl.point(pa, asked, pa.Chain.Hosts[next], RequestAsk)
+	for next := pa.Index + 1; next < pa.Chain.Asked; next++ {
+		if !fl.isGone(pa.Chain.Hosts[next]) {
+			return fl.point(pa, asked, pa.Chain.Hosts[next], RequestAsk)
+		}
 	}
 	if pa.Index == 0 {
 		return fl.open(pa)
@@ -138,7 +144,7 @@
 		if pa.Sender == pa.peer.Address {
 			return fl.breakTie(pa)
 		}
-		return fl.send(pa, pa.peer, RequestOpen)
+		return fl.leave(pa)
 	case offered:
 		if pa.Sender == pa.peer.Address {
 			return fl.hold(pa)
@@ -168,6 +174,20 @@
 	}
 }
 
+// leave repeats that the flow is left to the peer.
+func (fl *FlowTable) leave(pa *passage) Decision {
+	if fl.draining {
+		return fl.send(pa, pa.peer, RequestTake)
+	}
+	return fl.send(pa, pa.peer, RequestOpen)
+}
+
+// isGone reports whether the candidate is known to have left.
+func (fl *FlowTable) isGone(ca Candidate) bool {
+	i, ok := fl.peerIndex[ca.Address]
+	return ok && fl.peers[i].same(ca) && fl.peers[i].state == register.StateGone
+}
+
 // breakTie settles which of two hosts opens a flow: the one of lower address.
 func (fl *FlowTable) breakTie(pa *passage) Decision {
 	if fl.self.Address.Compare(pa.peer.Address) < 0 {
--- a/internal/coordination/route/flow.go
+++ b/internal/coordination/route/flow.go
@@ -92,21 +92,32 @@
 	fl.connections = connections
 }
 
-// Observe takes the record of another host. Pointers to a host that is gone or
-// has restarted are void.
+// Observe takes the record of another host. Pointers to a host that is gone,
+// has restarted or serves another service now are void.
 func (fl *FlowTable) Observe(ho register.Host) {
-	if ho.Service != fl.service || ho.Address == fl.self.Address {
+	if ho.Service != fl.service {
+		fl.lose(ho.Address)
 		return
 	}
-	i, ok := fl.peerOf(Candidate{Address: ho.Address, Incarnation: ho.Incarnation})
-	if !ok {
+	if ho.State == register.StateGone {
+		fl.lose(ho.Address)
+	}
+	if ho.Address == fl.self.Address {
 		return
 	}
-	pe := &fl.peers[i]
-	if ho.State == register.StateGone && pe.state != register.StateGone {
-		pe.generation++
+	if i, ok := fl.peerOf(Candidate{Address: ho.Address, Incarnation: ho.Incarnation}); ok {
+		fl.peers[i].state = ho.State
+	}
+}
+
+// lose makes the pointers to a peer void.
+func (fl *FlowTable) lose(address netip.AddrPort) {
+	i, ok := fl.peerIndex[address]
+	if !ok || fl.peers[i].state == register.StateGone {
+		return
 	}
-	pe.state = ho.State
+	fl.peers[i].generation++
+	fl.peers[i].state = register.StateGone
 }
 
 // Flows returns the number of open flows.
@@ -156,7 +167,7 @@
 		return 0, false
 	}
 	fw := &fl.flows[at]
-	void := fw.knowledge != held && fl.peers[fw.peer].generation != fw.generation
+	void := fw.knowledge != held && fl.peers[fw.peer].voids(fw)
 	if void || fw.deadline <= now {
 		fl.remove(at)
 		return 0, false
@@ -164,6 +175,11 @@
 	return at, true
 }
 
+// voids reports whether a pointer to the peer has become useless.
+func (pe *peer) voids(fw *flow) bool {
+	return pe.generation != fw.generation || pe.state == register.StateGone
+}
+
 func (fl *FlowTable) remove(at uint32) {
 	fw := &fl.flows[at]
 	if fw.knowledge == held {
