--- a/internal/coordination/route/baseline_test.go
+++ b/internal/coordination/route/baseline_test.go
@@ -2,12 +2,106 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
+// baseline is a way of steering to compare with.
+type baseline struct {
+	name    string
+	newView func([]register.Host) testView
+}
+
+func baselines() []baseline {
+	return []baseline{
+		{"Table", newTableView},
+		{"RendezvousWithoutChain", newTrimmedView},
+		{"Maglev", func(hosts []register.Host) testView { return newListView(hosts, maglevPick) }},
+		{"Modulo", func(hosts []register.Host) testView { return newListView(hosts, moduloPick) }},
+	}
+}
+
 func (tr *trimmed) chain(now time.Time, caller netip.AddrPort) Chain {
 	ch := tr.tableView.chain(now, caller)
 	ch.Count = min(ch.Count, 1)
 	ch.Asked = ch.Count
 	return ch
 }
+
+// listView steers over the list of hosts that take new work.
+type listView struct {
+	hosts  map[netip.AddrPort]register.Host
+	takers []Candidate
+	lookup []uint16
+	fill   func(takers []Candidate) []uint16
+}
+
+func newListView(hosts []register.Host, fill func([]Candidate) []uint16) *listView {
+	vi := &listView{hosts: make(map[netip.AddrPort]register.Host), fill: fill}
+	for _, ho := range hosts {
+		vi.hosts[ho.Address] = ho
+	}
+	vi.refill()
+	return vi
+}
+
+func (vi *listView) next(_ time.Time, ho register.Host) {
+	if !ho.Supersedes(vi.hosts[ho.Address].Revision) {
+		return
+	}
+	vi.hosts[ho.Address] = ho
+	vi.refill()
+}
+
+func (vi *listView) refill() {
+	vi.takers = nil
+	for _, ho := range vi.hosts {
+		if ho.State.TakesNewWork() {
+			vi.takers = append(vi.takers, Candidate{Address: ho.Address, Incarnation: ho.Incarnation})
+		}
+	}
+	slices.SortFunc(vi.takers, func(a, b Candidate) int { return a.Address.Compare(b.Address) })
+	vi.lookup = vi.fill(vi.takers)
+}
+
+func (vi *listView) chain(_ time.Time, caller netip.AddrPort) Chain {
+	hash := testKey.flow(caller, nil)
+	ch := Chain{Asked: 1}
+	ch.append(vi.takers[vi.lookup[hash%uint64(len(vi.lookup))]])
+	return ch
+}
+
+func moduloPick(takers []Candidate) []uint16 {
+	lookup := make([]uint16, len(takers))
+	for i := range lookup {
+		lookup[i] = uint16(i)
+	}
+	return lookup
+}
+
+// maglevPick fills a lookup table by turns from the takers' permutations.
+func maglevPick(takers []Candidate) []uint16 {
+	size := uint64(2039)
+	if len(takers) > 20 {
+		size = 65537
+	}
+	lookup := slices.Repeat([]uint16{noSlot}, int(size))
+	next := make([]uint64, len(takers))
+	for filled := 0; ; {
+		for i, ca := range takers {
+			offset, skip := testKey.seed(1, ca.Address)%size, testKey.seed(2, ca.Address)%(size-1)+1
+			at := (offset + next[i]*skip) % size
+			for lookup[at] != noSlot {
+				next[i]++
+				at = (offset + next[i]*skip) % size
+			}
+			lookup[at] = uint16(i)
+			next[i]++
+			if filled++; filled == int(size) {
+				return lookup
+			}
+		}
+	}
+}
