--- /dev/null
+++ b/internal/coordination/route/explain.go
@@ -0,0 +1,165 @@
+package route
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// Role tells why a host is in a chain.
+type Role uint8
+
+const (
+	// RoleOwner is the host that the bucket belongs to.
+	RoleOwner Role = iota + 1
+	// RoleHolder is a host that may have owned the bucket lately.
+	RoleHolder
+	// RoleSecondChoice is the host to which a new flow may be offered.
+	RoleSecondChoice
+)
+
+// String returns the role's name.
+func (ro Role) String() string {
+	switch ro {
+	case RoleOwner:
+		return "Owner"
+	case RoleHolder:
+		return "Holder"
+	case RoleSecondChoice:
+		return "SecondChoice"
+	default:
+		return "Unknown"
+	}
+}
+
+// Step is one host that a packet may visit, in the order of the visits.
+type Step struct {
+	Role        Role
+	Address     netip.AddrPort
+	Incarnation uint64
+	State       register.State
+	Weight      uint16
+	Domain      string
+}
+
+// String returns the step as one line for operators.
+func (st Step) String() string {
+	return fmt.Sprintf("Role=%s Host=%s Incarnation=%d State=%s Weight=%d Domain=%s",
+		st.Role, st.Address, st.Incarnation, st.State, st.Weight, st.Domain)
+}
+
+// Explanation tells how a balancer steers a caller's packet that names no host.
+type Explanation struct {
+	Service register.ServiceID
+	Caller  netip.AddrPort
+	Bucket  uint64
+	// Hosts is the number of hosts that may own buckets of the service.
+	Hosts int
+	// Fresh reports that the balancer doesn't know the service's history yet.
+	Fresh bool
+	// NextChange is when the chain may become shorter without a new record.
+	// Zero if no change is due.
+	NextChange time.Time
+	Steps      []Step
+}
+
+// String returns the explanation as lines for operators.
+func (ex Explanation) String() string {
+	var sb strings.Builder
+	fmt.Fprintf(&sb, "Service=%d Caller=%s Bucket=%d Hosts=%d Fresh=%t", ex.Service, ex.Caller, ex.Bucket, ex.Hosts, ex.Fresh)
+	if !ex.NextChange.IsZero() {
+		fmt.Fprintf(&sb, " NextChange=%s", ex.NextChange.UTC().Format(time.RFC3339))
+	}
+	for _, st := range ex.Steps {
+		fmt.Fprintf(&sb, "\n%s", st)
+	}
+	if len(ex.Steps) == 0 {
+		sb.WriteString("\nNo host of the service is known")
+	}
+	return sb.String()
+}
+
+// Explain returns how the table steers a caller's packet that names no host. It
+// decides as Candidates does.
+func Explain(ta *Table, service register.ServiceID, caller netip.AddrPort) Explanation {
+	ex := Explanation{Service: service, Caller: caller, Bucket: ta.key.bucket(service, caller)}
+	sv, ok := ta.services.get(service)
+	if !ok {
+		return ex
+	}
+	ex.Fresh = sv.fresh
+	ex.NextChange = sv.nextDeadline()
+	ex.Hosts = sv.settledCount
+	for _, un := range sv.unsettled {
+		if un.inverse != 0 {
+			ex.Hosts++
+		}
+	}
+	ch := ta.Candidates(service, caller)
+	for i, ca := range ch.candidates() {
+		ex.Steps = append(ex.Steps, ta.step(roleAt(&ch, uint8(i)), ca))
+	}
+	return ex
+}
+
+func roleAt(ch *Chain, i uint8) Role {
+	switch {
+	case i == 0:
+		return RoleOwner
+	case i < ch.Asked:
+		return RoleHolder
+	default:
+		return RoleSecondChoice
+	}
+}
+
+func (ta *Table) step(ro Role, ca Candidate) Step {
+	ho, _ := ta.hosts.get(ca.Address)
+	return Step{
+		Role: ro, Address: ca.Address, Incarnation: ca.Incarnation,
+		State: ho.State, Weight: ho.Weight, Domain: ho.Domain,
+	}
+}
+
+// Trace is what an agent knows of a flow.
+type Trace struct {
+	// Known is Unknown, Held, Asked, Promised or Offered.
+	Known string
+	// Peer is the host that was asked, or to which the flow was left.
+	Peer netip.AddrPort
+	// Deadline is when the agent forgets the flow if no packet comes.
+	Deadline time.Time
+}
+
+// Trace returns what the agent knows of a flow, without a change.
+func (fl *FlowTable) Trace(now time.Time, caller netip.AddrPort, id []byte) Trace {
+	at, ok := fl.index[fl.key.flow(caller, id)]
+	if !ok || fl.flows[at].deadline <= fl.instant(now) {
+		return Trace{Known: unknown.String()}
+	}
+	fw := &fl.flows[at]
+	tr := Trace{Known: fw.knowledge.String(), Deadline: fl.start.Add(time.Duration(fw.deadline))}
+	if fw.knowledge != held {
+		tr.Peer = fl.peers[fw.peer].Address
+	}
+	return tr
+}
+
+// String returns the knowledge's name.
+func (kn knowledge) String() string {
+	switch kn {
+	case held:
+		return "Held"
+	case asked:
+		return "Asked"
+	case promised:
+		return "Promised"
+	case offered:
+		return "Offered"
+	default:
+		return "Unknown"
+	}
+}
