perf: an instance without a view publishes nothing

In the spread harness an instance that heard gossip before its first view took itself for a watcher and the top of its failure domain: 250 instances left 246 announcements and 247 sums in gossip. It has no role now until it has a view. The harness asks whether a version is in force everywhere only after something was applied, which took most of its time at 4,096 instances.

--- a/internal/coordination/rollout/reader.go
+++ b/internal/coordination/rollout/reader.go
@@ -84,7 +84,6 @@
 		anchors: anchors,
 		random:  random,
 		view:    NewView(nil),
-		role:    role{watches: true, top: true},
 		waiting: make(map[int]waitingDelta),
 		tally:   newTally(),
 	}
--- a/internal/coordination/rollout/role.go
+++ b/internal/coordination/rollout/role.go
@@ -84,14 +84,17 @@
 }
 
 // roleOf returns the role of the instance in the view. An instance that is no
-// member is a guest of the balancer that hashing chooses for it.
+// member is a guest of the balancer that hashing chooses for it; one without a
+// view has no role.
 func roleOf(self Member, vi *View) role {
 	order := vi.orders[self.Domain]
 	at := slices.Index(order, self.Address)
-	if at < 0 && len(vi.members) > 0 {
+	switch {
+	case len(vi.members) == 0:
+		return role{}
+	case at < 0:
 		return role{parent: hostOf(self, vi.members)}
 	}
-	at = max(at, 0)
 	ro := role{watches: at < Watchers, top: at == 0}
 	if !ro.top {
 		ro.parent = order[(at-1)/FanOut]
--- a/internal/coordination/rollout/tally.go
+++ b/internal/coordination/rollout/tally.go
@@ -107,7 +107,7 @@
 
 // report passes the sum on, to the parent or as the domain's to all.
 func (re *Reader) report(now time.Time) []Action {
-	if now.Before(re.reportAt) {
+	if now.Before(re.reportAt) || !re.role.top && !re.role.parent.IsValid() {
 		return nil
 	}
 	re.reportAt = now.Add(ReportInterval)
--- a/internal/standin/spread/node.go
+++ b/internal/standin/spread/node.go
@@ -18,6 +18,7 @@
 		case rollout.ActionPublish:
 			fl.spread(no, ac.Item)
 		case rollout.ActionApply:
+			fl.applied++
 			no.Applied = append(no.Applied, ac.State.Version())
 		case rollout.ActionAsk:
 			fl.ask(no, ac)
--- a/internal/standin/spread/spread.go
+++ b/internal/standin/spread/spread.go
@@ -78,6 +78,8 @@
 	owner   ed25519.PrivateKey
 	view    *rollout.View
 	places  map[netip.AddrPort]*Node
+	// applied counts the states that were put in force.
+	applied uint64
 }
 
 // Node is one instance.
@@ -207,15 +209,18 @@
 	fl.runUntil(fl.Now.Add(duration), func() bool { return false })
 }
 
-// runUntil lets the time pass until the end or until done.
+// runUntil lets the time pass until the end or until done, which is asked again
+// whenever an instance has put a state in force.
 func (fl *Fleet) runUntil(end time.Time, done func() bool) {
+	asked := fl.applied - 1
 	for len(fl.queue) > 0 && !fl.queue[0].at.After(end) {
 		ev, _ := heap.Pop(&fl.queue).(event)
 		if ev.at.After(fl.Now) {
-			if done() {
+			if asked != fl.applied && done() {
 				heap.Push(&fl.queue, ev)
 				return
 			}
+			asked = fl.applied
 			fl.Now = ev.at
 		}
 		ev.do()
