--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -65,7 +65,9 @@
 	// ReportExpiry is when a report that was not repeated is dropped.
 	ReportExpiry = 100 * time.Second
 	// SpreadInterval is the least time between two published sums.
-	SpreadInterval = 2 * time.Second
+	SpreadInterval = 5 * time.Second
+	// SpreadDelay is how long a top collects reports before it publishes.
+	SpreadDelay = time.Second
 	// DeltaSlots is the number of latest deltas that gossip keeps.
 	DeltaSlots = 16
 	// MaxDeltaBytes is the size of the largest delta that gossip carries; peers
--- a/internal/coordination/rollout/tally.go
+++ b/internal/coordination/rollout/tally.go
@@ -37,8 +37,11 @@
 // touch lets the next report go out soon, that of the top less often.
 func (re *Reader) touch(now time.Time) {
 	soon := now.Add(ReportDelay)
-	if next := re.reported.Add(SpreadInterval); re.role.top && soon.Before(next) {
-		soon = next
+	if re.role.top {
+		soon = now.Add(SpreadDelay)
+		if next := re.reported.Add(SpreadInterval); soon.Before(next) {
+			soon = next
+		}
 	}
 	re.repeats = ReportRepeats
 	if re.reportAt.IsZero() || soon.Before(re.reportAt) {
