--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/quic-go/quic-go"
-
 	"corneltiller.dev/corneltiller/internal/coordination/rollout"
 	"corneltiller.dev/corneltiller/internal/protocol/command"
 	"corneltiller.dev/corneltiller/internal/protocol/message"
@@ -28,7 +26,7 @@
 	}
 	ag.follower.SetMembers(members)
 	link.On(mux, message.KindQuery, func(context.Context, link.Peer, command.Query) (any, error) {
-		return command.Status{Version: ag.follower.State().Version(), Flows: int(ag.flows.Load())}, nil
+		return command.Status{Version: ag.follower.State().Version(), Flows: int(ag.connections.Load())}, nil
 	})
 }
 
@@ -40,10 +38,3 @@
 	}
 	return st.Configuration
 }
-
-// countFlow counts a flow while its connection is open.
-func (ag *Agent) countFlow(ctx context.Context, co *quic.Conn) context.Context {
-	ag.flows.Add(1)
-	context.AfterFunc(co.Context(), func() { ag.flows.Add(-1) })
-	return ctx
-}
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -18,9 +18,11 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
@@ -29,10 +31,6 @@
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
-// quietBeforeStop is how long no datagram may arrive before a stopping
-// balancer is sure that the fabric has withdrawn it.
-const quietBeforeStop = 500 * time.Millisecond
-
 // Config is what a balancer needs to run.
 type Config struct {
 	settings.Balancer
@@ -53,7 +51,7 @@
 	addresses atomic.Pointer[addresses]
 	// configuration is what addresses was made from.
 	configuration atomic.Pointer[catalog.Configuration]
-	steer         atomic.Pointer[Steer]
+	table         atomic.Pointer[route.Table]
 	directory     *directory
 	entrances     *entrances
 	pool          *link.Pool
@@ -65,7 +63,7 @@
 
 // counts are the metrics of the hot path.
 type counts struct {
-	forwarded, answered, malformed, unknownService, wrongService, noHost, sendFailed metrics.Counter
+	forwarded, answered, malformed, unknownService, wrongService, noHost, hostLeft, sendFailed metrics.Counter
 }
 
 func newCounts(bo *gauge.Board) counts {
@@ -76,6 +74,7 @@
 		unknownService: bo.Counter("DatagramsUnknownService"),
 		wrongService:   bo.Counter("DatagramsWrongService"),
 		noHost:         bo.Counter("DatagramsNoHost"),
+		hostLeft:       bo.Counter("DatagramsHostLeft"),
 		sendFailed:     bo.Counter("DatagramsSendFailed"),
 	}
 }
@@ -83,8 +82,9 @@
 // Open takes the balancer's addresses.
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
 	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
-	ba.directory = newDirectory(ba)
 	ba.entrances = newEntrances(ba)
+	ba.pool = link.NewPool(cfg.Material.PeerClientTLS())
+	ba.pool.Sent = func(bytes int) { cfg.Board.Count("ControlBytesSent", int64(bytes)) }
 	var err error
 	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
 		return nil, err
@@ -98,9 +98,8 @@
 	}
 	ba.answers = ba.hosts.Address()
 	ba.Apply(configurationOf(cfg.Services))
-	ba.directory.rebuild()
+	ba.table.Store(route.NewTable(ba.steeringKey(), time.Now(), nil))
 	mux := link.NewMux()
-	ba.directory.register(mux)
 	ba.registerQuery(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
@@ -109,6 +108,8 @@
 	if ba.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
+	ba.directory = newDirectory(ba)
+	ba.directory.fleet.Register(mux)
 	ba.follow(mux)
 	return ba, nil
 }
@@ -132,6 +133,11 @@
 	}
 }
 
+// steeringKey returns the key that balancers and agents share.
+func (ba *Balancer) steeringKey() route.Key {
+	return route.KeyOf(ba.cfg.Material.Secret())
+}
+
 // framed reports whether the fabric wraps callers' datagrams in frames.
 func (ba *Balancer) framed() bool {
 	return ba.cfg.Fabric.IsValid()
@@ -165,8 +171,8 @@
 	eg.Go(func() error { return ba.control.Run(serving) })
 	eg.Go(func() error { return ba.metrics.Run(serving) })
 	eg.Go(func() error { return ba.directory.run(serving) })
+	eg.Go(func() error { return ba.directory.fleet.Run(serving) })
 	eg.Go(func() error { return ba.follower.Run(serving) })
-	ba.cfg.Board.SetReady(true)
 
 	select {
 	case <-ctx.Done():
@@ -192,22 +198,22 @@
 // drain waits until no datagram has arrived for a while, at most until the deadline.
 func (ba *Balancer) drain(deadline time.Time) {
 	ba.cfg.Board.SetReady(false)
+	ba.directory.fleet.SetState(register.StateDraining)
 	klog.InfoS("Balancer stopping", "Deadline", deadline)
-	last := ba.traffic()
-	quietAt := time.Now().Add(quietBeforeStop)
-	ticker := time.NewTicker(quietBeforeStop / 10)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if now.After(deadline) || now.After(quietAt) {
-			return
-		}
-		if traffic := ba.traffic(); traffic != last {
-			last = traffic
-			quietAt = now.Add(quietBeforeStop)
-		}
+	defer ba.depart(deadline)
+	if !socket.AwaitQuiet(ba.traffic, deadline) {
+		klog.InfoS("Balancer stopped while datagrams still arrive", "Hosts", ba.Hosts())
 	}
 }
 
+// depart announces that the balancer is gone.
+func (ba *Balancer) depart(deadline time.Time) {
+	ba.directory.fleet.SetState(register.StateGone)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ba.directory.fleet.Flush(ctx)
+}
+
 func (ba *Balancer) traffic() int64 {
 	return ba.counts.forwarded.Count() + ba.counts.answered.Count()
 }
--- a/internal/transport/balancer/configuration.go
+++ b/internal/transport/balancer/configuration.go
@@ -15,7 +15,6 @@
 
 // follow prepares the follower, which keeps the accepted configuration in force.
 func (ba *Balancer) follow(mux *link.Mux) {
-	ba.pool = link.NewPool(ba.cfg.Material.PeerClientTLS())
 	fc := follower.Config{
 		Self:  rollout.Member{Address: ba.Control()},
 		Pool:  ba.pool,
@@ -54,19 +53,22 @@
 	return ba.configuration.Load()
 }
 
-// admits reports whether the configuration lets the host take new work. The
-// services of the settings set no limits.
-func (ba *Balancer) admits(ho register.Host) bool {
+// weight returns the share of new flows that the configuration leaves to a
+// host, zero if it may take none. The services of the settings set no limits.
+func (ba *Balancer) weight(ho register.Host) uint16 {
 	cfg := ba.configuration.Load()
 	if cfg.Version == (catalog.Version{}) {
-		return true
+		return ho.Weight
 	}
 	sv, known := cfg.ServiceByID(ho.Service)
 	if !known || !sv.MayServe(ho.Address.Addr()) {
-		return false
+		return 0
 	}
 	ru := cfg.Rule(ho.Address.Addr())
-	return !ru.Draining && ru.Weight > 0
+	if ru.Draining {
+		return 0
+	}
+	return uint16(uint32(ho.Weight) * uint32(ru.Weight) / uint32(register.FullWeight))
 }
 
 // registerQuery answers the operators' questions.
@@ -78,7 +80,7 @@
 
 // status returns what this balancer knows of the fleet.
 func (ba *Balancer) status(qu command.Query) command.Status {
-	hosts := ba.directory.list()
+	hosts := ba.directory.fleet.Hosts()
 	members := ba.members()
 	st := command.Status{
 		Version:            ba.Configuration().Version,
--- a/internal/transport/balancer/forward_bench_test.go
+++ b/internal/transport/balancer/forward_bench_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/frame"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
@@ -149,14 +150,15 @@
 		b.ReportAllocs()
 		for b.Loop() {
 			packet, _ := label.Parse(payload)
-			fo.envelope = envelope.Envelope{Service: benchService}
+			fo.envelope = envelope.Envelope{Header: route.Header{Service: benchService}}
 			if !fo.aim(packet) {
 				b.Fatal("dropped")
 			}
 		}
 	})
+	var hosts []register.Host
 	for i := range benchHostCount {
-		ba.directory.announce(time.Now(), register.Host{
+		hosts = append(hosts, register.Host{
 			Revision: register.Revision{Incarnation: 1, Sequence: 1},
 			Address:  netip.AddrPortFrom(loopback, uint16(1000+i)),
 			Service:  benchService,
@@ -164,12 +166,13 @@
 			Weight:   register.FullWeight,
 		})
 	}
+	ba.table.Store(route.NewTable(ba.steeringKey(), time.Now(), hosts))
 	b.Run("ByBucket", func(b *testing.B) {
 		first := label.Packet{Long: true, Destination: []byte("firstpkt")}
 		caller := netip.MustParseAddrPort("198.51.100.7:4000")
 		b.ReportAllocs()
 		for b.Loop() {
-			fo.envelope = envelope.Envelope{Service: benchService, Caller: caller}
+			fo.envelope = envelope.Envelope{Header: route.Header{Service: benchService, Caller: caller}}
 			if !fo.aim(first) {
 				b.Fatal("dropped")
 			}
