feat: settings are checked as a whole, and "check" prints every fault

Cause: the loader ignored unknown fields, stopped at the first wrong value and gave no line. An agent with a misspelt StopWithin started with the default.

Now every fault of a file is found in one pass, each with file, line, column, field, what was found and what is wanted: unknown and doubled fields, wrong types, bounds, overlapping addresses, unspecified addresses that others must reach, key files that don't fit. The bounds stand in field tags, from which the operators' page is checked; an example for each role is loaded by a test.

Ruled out: json.Decoder with DisallowUnknownFields (one fault, no column after the comments are stripped). Metrics and Callers could not be left out: the listeners refuse an unset address, so they are needed.

First red: an element of a list with a fault hid the faults of its siblings (Services[0].ID of 0, empty Services[2].Addresses); the golden files hold both.

--- a/cmd/ctl.go
+++ b/cmd/ctl.go
@@ -46,7 +46,7 @@
 	if op.Settings == "" {
 		return &exitError{code: ExitUsage, err: errors.New("ctl needs --settings")}
 	}
-	st, err := settings.Load(op.Settings, settings.Console{})
+	st, err := settings.Load(op.Settings, settings.DefaultConsole())
 	if err != nil {
 		return &exitError{code: ExitUsage, err: err}
 	}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -94,6 +94,7 @@
 		balancerCommand(),
 		agentCommand(),
 		callCommand(),
+		checkCommand(),
 		ctlCommand(),
 		demoCommand(),
 		standinCommand(),
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -1,19 +1,32 @@
 // Package settings holds the settings of each role, their defaults, and the
 // loader that reads them from files of JSON with comments.
 //
+// A file is read as a whole: Load returns every fault of it at once, each with
+// its line and column, so that nothing starts from a file that is partly wrong.
+// Field tags state what a value must satisfy:
+//
+//	need:"yes"           the field may not be left out or empty
+//	min:"1" max:"64"     bounds of a number, both included
+//	listen:"udp"         an address that the process listens on
+//	announce:"yes"       an address that other processes are told to reach
+//	file:"reload"        a file whose content is loaded again at SIGHUP
+//
 // # Usage
 //
 //	st, err := settings.Load("balancer.json", settings.DefaultBalancer())
+//	var faults settings.Faults
+//	if errors.As(err, &faults) {
+//		for _, fa := range faults {
+//			fmt.Println(fa.Line, fa.Column, fa.Want)
+//		}
+//	}
 package settings
 
 import (
-	"encoding/json"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/tailscale/hujson"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
@@ -40,40 +53,40 @@
 // Keys names the files with a process's keys.
 type Keys struct {
 	// Certificate is the PEM file of the process's certificate chain.
-	Certificate string
+	Certificate string `need:"yes" file:"reload"`
 	// Key is the PEM file of the certificate's private key.
-	Key string
+	Key string `need:"yes" file:"reload"`
 	// Authority is the PEM file of the certificates that peers must be signed by.
-	Authority string
-	// Secret is the file of the deployment's secret.
-	Secret string
+	Authority string `need:"yes" file:"reload"`
+	// Secret is the file of the deployment's secret, of 16 bytes or more.
+	Secret string `need:"yes" file:"reload"`
 }
 
 // Common holds the settings that every role has.
 type Common struct {
 	// Domain is the failure domain of the instance.
-	Domain string
+	Domain string `need:"yes"`
 	// Control is the address on which links of other processes are taken.
-	Control netip.AddrPort
+	Control netip.AddrPort `need:"yes" listen:"tcp" announce:"yes"`
 	// Metrics is the address on which metrics and readiness are served.
-	Metrics netip.AddrPort
+	Metrics netip.AddrPort `need:"yes" listen:"tcp"`
 	// Keys names the key files.
 	Keys Keys
-	// StopWithin bounds a graceful shutdown.
-	StopWithin Duration
+	// StopWithin bounds a graceful shutdown, after which open requests are cut.
+	StopWithin Duration `min:"1s" max:"1h"`
 }
 
 // Service is a service known from the settings, until the platform's
 // configuration is read.
 type Service struct {
 	// ID is the service's number.
-	ID uint32
+	ID uint32 `min:"1" max:"16777215"`
 	// Name is the service's name.
-	Name string
+	Name string `need:"yes"`
 	// Firm is the tenant firm.
-	Firm string
+	Firm string `need:"yes"`
 	// Addresses are where callers reach the service.
-	Addresses []netip.AddrPort
+	Addresses []netip.AddrPort `need:"yes"`
 }
 
 // Catalog returns the service as the configuration holds it.
@@ -85,70 +98,3 @@
 		Addresses: sv.Addresses,
 	}
 }
-
-// Balancer holds the settings of a balancer.
-type Balancer struct {
-	Common
-	// Callers is the address on which the fabric's datagrams arrive.
-	Callers netip.AddrPort
-	// Hosts is the address on which agents' answers arrive.
-	Hosts netip.AddrPort
-	// Fabric is where answers are sent when the fabric wraps datagrams in
-	// frames. Without it the balancer takes the services' addresses itself.
-	Fabric netip.AddrPort
-	// Platform is the address of the platform's object API.
-	Platform netip.AddrPort
-	// Seeds are the control addresses of balancers to join by.
-	Seeds []netip.AddrPort
-	// Services are in force until the platform's configuration is read.
-	Services []Service
-	// Workers is the number of datagram workers for each socket.
-	Workers int
-}
-
-// Agent holds the settings of an agent.
-type Agent struct {
-	Common
-	// Datagrams is the address on which enveloped datagrams arrive.
-	Datagrams netip.AddrPort
-	// Service is the number of the service that the backend server serves.
-	Service uint32
-	// Backend is the HTTP address of the backend server.
-	Backend netip.AddrPort
-	// Slots is the number of requests that the backend server works on at once.
-	Slots int
-	// Seeds are the control addresses of balancers to announce to.
-	Seeds []netip.AddrPort
-	// Workers is the number of datagram workers.
-	Workers int
-}
-
-// DefaultBalancer returns the defaults of a balancer.
-func DefaultBalancer() Balancer {
-	return Balancer{Common: defaultCommon(), Workers: 2}
-}
-
-// DefaultAgent returns the defaults of an agent.
-func DefaultAgent() Agent {
-	return Agent{Common: defaultCommon(), Slots: 2, Workers: 2}
-}
-
-func defaultCommon() Common {
-	return Common{StopWithin: Duration(30 * time.Second)}
-}
-
-// Load reads a file of JSON with comments over the defaults.
-func Load[T any](path string, defaults T) (T, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return defaults, errors.Wrap(err, "read settings")
-	}
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		return defaults, errors.Wrapf(err, "parse settings %s", path)
-	}
-	if err := json.Unmarshal(standard, &defaults); err != nil {
-		return defaults, errors.Wrapf(err, "decode settings %s", path)
-	}
-	return defaults, nil
-}
