--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -61,6 +62,8 @@
 	RemovedAt time.Time
 	// DistrustDeadline is when a distrusted removal takes effect.
 	DistrustDeadline time.Time
+	// shown is what Project returned last.
+	shown shown
 }
 
 // removed reports whether the newest removal covers the newest record.
@@ -101,6 +104,7 @@
 	changes   uint64
 	// balancerChanges counts those changes that concern balancers.
 	balancerChanges uint64
+	projection
 }
 
 // New returns an empty view.
@@ -110,6 +114,8 @@
 		services: make(map[register.ServiceID][]*Member),
 		domains:  make(map[string][]*Member),
 		controls: make(map[netip.AddrPort]*Member),
+
+		projection: projection{dirty: make(map[register.ServiceID]struct{})},
 	}
 }
 
@@ -129,7 +135,9 @@
 	ro.changes++
 	if me.Role == RoleBalancer {
 		ro.balancerChanges++
+		return
 	}
+	ro.dirty[me.Host.Service] = struct{}{}
 }
 
 // Apply joins an item into the view and reports whether the view changed. It
@@ -225,6 +233,16 @@
 	return hosts
 }
 
+// Rotations returns the hosts of all services that take new work, by service
+// and address.
+func (ro *Roster) Rotations(now time.Time) []register.Host {
+	var hosts []register.Host
+	for _, service := range slices.Sorted(maps.Keys(ro.services)) {
+		hosts = append(hosts, ro.Rotation(service, now)...)
+	}
+	return hosts
+}
+
 // Hosts returns all hosts that still belong to the fleet, draining ones
 // included, by address.
 func (ro *Roster) Hosts(now time.Time) []register.Host {
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -22,6 +22,7 @@
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
@@ -81,8 +82,9 @@
 // Open takes the balancer's addresses.
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
 	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
-	ba.directory = newDirectory(ba)
 	ba.entrances = newEntrances(ba)
+	ba.pool = link.NewPool(cfg.Material.PeerClientTLS())
+	ba.pool.Sent = func(bytes int) { cfg.Board.Count("ControlBytesSent", int64(bytes)) }
 	var err error
 	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
 		return nil, err
@@ -96,9 +98,8 @@
 	}
 	ba.answers = ba.hosts.Address()
 	ba.Apply(configurationOf(cfg.Services))
-	ba.table.Store(route.NewTable(route.KeyOf(cfg.Material.Secret()), time.Now(), nil))
+	ba.table.Store(route.NewTable(ba.steeringKey(), time.Now(), nil))
 	mux := link.NewMux()
-	ba.directory.register(mux)
 	ba.registerQuery(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
@@ -107,6 +108,8 @@
 	if ba.metrics, err = link.Listen(ctx, cfg.Metrics, nil, cfg.Board); err != nil {
 		return nil, err
 	}
+	ba.directory = newDirectory(ba)
+	ba.directory.fleet.Register(mux)
 	ba.follow(mux)
 	return ba, nil
 }
@@ -130,6 +133,11 @@
 	}
 }
 
+// steeringKey returns the key that balancers and agents share.
+func (ba *Balancer) steeringKey() route.Key {
+	return route.KeyOf(ba.cfg.Material.Secret())
+}
+
 // framed reports whether the fabric wraps callers' datagrams in frames.
 func (ba *Balancer) framed() bool {
 	return ba.cfg.Fabric.IsValid()
@@ -163,8 +171,8 @@
 	eg.Go(func() error { return ba.control.Run(serving) })
 	eg.Go(func() error { return ba.metrics.Run(serving) })
 	eg.Go(func() error { return ba.directory.run(serving) })
+	eg.Go(func() error { return ba.directory.fleet.Run(serving) })
 	eg.Go(func() error { return ba.follower.Run(serving) })
-	ba.cfg.Board.SetReady(true)
 
 	select {
 	case <-ctx.Done():
@@ -190,12 +198,22 @@
 // drain waits until no datagram has arrived for a while, at most until the deadline.
 func (ba *Balancer) drain(deadline time.Time) {
 	ba.cfg.Board.SetReady(false)
+	ba.directory.fleet.SetState(register.StateDraining)
 	klog.InfoS("Balancer stopping", "Deadline", deadline)
+	defer ba.depart(deadline)
 	if !socket.AwaitQuiet(ba.traffic, deadline) {
 		klog.InfoS("Balancer stopped while datagrams still arrive", "Hosts", ba.Hosts())
 	}
 }
 
+// depart announces that the balancer is gone.
+func (ba *Balancer) depart(deadline time.Time) {
+	ba.directory.fleet.SetState(register.StateGone)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ba.directory.fleet.Flush(ctx)
+}
+
 func (ba *Balancer) traffic() int64 {
 	return ba.counts.forwarded.Count() + ba.counts.answered.Count()
 }
--- a/internal/transport/balancer/configuration.go
+++ b/internal/transport/balancer/configuration.go
@@ -15,7 +15,6 @@
 
 // follow prepares the follower, which keeps the accepted configuration in force.
 func (ba *Balancer) follow(mux *link.Mux) {
-	ba.pool = link.NewPool(ba.cfg.Material.PeerClientTLS())
 	fc := follower.Config{
 		Self:  rollout.Member{Address: ba.Control()},
 		Pool:  ba.pool,
@@ -81,7 +80,7 @@
 
 // status returns what this balancer knows of the fleet.
 func (ba *Balancer) status(qu command.Query) command.Status {
-	hosts := ba.directory.list()
+	hosts := ba.directory.fleet.Hosts()
 	members := ba.members()
 	st := command.Status{
 		Version:            ba.Configuration().Version,
