--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -38,6 +38,7 @@
 )
 
 const (
+	loadCheck = 500 * time.Millisecond
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// maxFlows bounds the flows that the agent knows, its own and others'.
@@ -68,8 +69,8 @@
 	metrics   *link.Listener
 	pool      *link.Pool
 	follower  *follower.Follower
-	desk      *desk.Desk
 	fleet     *fleet.Fleet
+	desk      *desk.Desk
 	abortOnce sync.Once
 	aborted   chan struct{}
 	counts    counts
@@ -220,6 +221,7 @@
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.fleet.Run(serving) })
+	eg.Go(func() error { return ag.announceLoad(serving) })
 	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -273,6 +275,22 @@
 	ag.fleet.Flush(ctx)
 }
 
+// announceLoad tells the fleet how busy the backend server is, and brings the
+// table over its deadlines.
+func (ag *Agent) announceLoad(ctx context.Context) error {
+	ticker := time.NewTicker(loadCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			ag.fleet.SetLoad(ag.desk.Load())
+			ag.changed()
+		}
+	}
+}
+
 // traffic returns the number of callers' datagrams taken so far.
 func (ag *Agent) traffic() int64 {
 	return ag.counts.accepted.Count() + ag.counts.passed.Count()
