fix: flows opened while a host starts to drain are not left hanging

The agent now goes on for one second after it announces that it drains, and ends later flows with a goodbye. Callers send a repeatable request again over a new flow when its flow ended or its agent drains. Answers name the agent that holds the flow, so that the demo attributes losses to the crashed host although requests move between hosts. A run that its deadline ends is told as such, whichever event comes first (desk test failed 1 of 5 times: 502 instead of 504).

--- a/internal/coordination/dispatch/execute.go
+++ b/internal/coordination/dispatch/execute.go
@@ -102,10 +102,19 @@
 	case ResultTruncated:
 		de.settle(jo, ledger.Unknown, ReasonServerFailed, ledger.Answer{})
 	default:
-		de.lose(now, jo, ReasonServerFailed)
+		de.lose(now, jo, failureReason(now, jo))
 	}
 }
 
+// failureReason tells a server that failed from one whose run the deadline
+// ended, whichever of the two the core hears of first.
+func failureReason(now time.Time, jo *job) Reason {
+	if !now.Before(jo.Deadline) {
+		return ReasonDeadline
+	}
+	return ReasonServerFailed
+}
+
 // judgeServer tells the breaker and the limiter how the backend server did.
 func (de *Desk) judgeServer(now time.Time, jo *job, re Result) {
 	if jo.stage == stageSettled && re != ResultWhole {
--- a/internal/protocol/outcome/outcome.go
+++ b/internal/protocol/outcome/outcome.go
@@ -32,6 +32,8 @@
 	HeaderOutcome = "Corneltiller-Outcome"
 	// HeaderReason says why the outcome is not Answered.
 	HeaderReason = "Corneltiller-Reason"
+	// HeaderHost is the datagram address of the agent that holds the flow.
+	HeaderHost = "Corneltiller-Host"
 	// HeaderTimeout is the time that the caller waits, in milliseconds from the
 	// arrival of the request, because clocks of instances differ.
 	HeaderTimeout = "Corneltiller-Timeout-Milliseconds"
--- a/internal/standin/demo/book.go
+++ b/internal/standin/demo/book.go
@@ -28,12 +28,16 @@
 	startedAt  time.Time
 	finishedAt time.Time
 	outcome    Outcome
-	// host answered the flow's last request before this one ended.
+	// host is the agent that held the flow when the request was sent.
 	host netip.AddrPort
+	// answeredBy is the agent that told the outcome, if one did.
+	answeredBy netip.AddrPort
 	// wrong tells an answer that wasn't whole or belonged to another request.
 	wrong bool
-	// failure is the error that the caller saw, if any.
+	// failure is the error or the reason that the caller saw, if any.
 	failure string
+	// reason is why there was no answer, if an agent said so.
+	reason string
 }
 
 // ending is the end of one flow without a goodbye.
@@ -78,7 +82,8 @@
 
 // serverBook is the book of one backend server and what was done to its host.
 type serverBook struct {
-	address   netip.AddrPort
+	// agent is the datagram address of the host's agent.
+	agent     netip.AddrPort
 	service   string
 	runs      []backend.Run
 	crashedAt time.Time
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -38,7 +38,10 @@
 )
 
 const (
-	loadCheck = 500 * time.Millisecond
+	// handshakeGrace is how long an agent that stops goes on taking the flows
+	// that it has opened.
+	handshakeGrace = time.Second
+	loadCheck      = 500 * time.Millisecond
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// maxFlows bounds the flows that the agent knows, its own and others'.
@@ -233,7 +236,7 @@
 
 	select {
 	case <-ctx.Done():
-		ag.drain(time.Now().Add(time.Duration(ag.cfg.StopWithin)))
+		ag.drain(time.Now().Add(time.Duration(ag.cfg.StopWithin)), listener)
 	case <-ag.aborted:
 		ag.socket.Close()
 	case <-serving.Done():
@@ -257,14 +260,17 @@
 
 // drain announces that the host leaves, and waits until the open requests have
 // ended, at most until the deadline.
-func (ag *Agent) drain(deadline time.Time) {
+func (ag *Agent) drain(deadline time.Time, listener *quic.EarlyListener) {
 	ag.cfg.Board.SetReady(false)
 	klog.InfoS("Agent stopping", "Deadline", deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	ag.fleet.SetState(register.StateDraining)
 	ag.changed()
+	// Flows that were opened just before are accepted and told to go elsewhere.
+	time.Sleep(min(handshakeGrace, time.Until(deadline)))
 	stopped := ag.stopDesk(deadline)
+	go sendAway(ctx, listener)
 	if err := ag.server.Shutdown(ctx); err != nil {
 		klog.InfoS("Agent stopped with open flows", "Err", err)
 	}
@@ -275,6 +281,18 @@
 	ag.fleet.Flush(ctx)
 }
 
+// sendAway ends the flows that come while the agent stops, in the way that a
+// graceful shutdown does (RFC 9114, section 5.2).
+func sendAway(ctx context.Context, listener *quic.EarlyListener) {
+	for {
+		co, err := listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		_ = co.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "stopping")
+	}
+}
+
 // announceLoad tells the fleet how busy the backend server is, and brings the
 // table over its deadlines.
 func (ag *Agent) announceLoad(ctx context.Context) error {
--- a/internal/transport/caller/tickets.go
+++ b/internal/transport/caller/tickets.go
@@ -58,12 +58,49 @@
 		remaining := max(1, time.Until(deadline).Milliseconds())
 		re.Header.Set(outcome.HeaderTimeout, strconv.FormatInt(remaining, 10))
 	}
-	if at.Repeatable || at.Token != "" {
+	switch {
+	case at.Token != "":
 		answer, err := ti.Next.RoundTrip(re)
 		ti.learn(answer)
 		return answer, err
+	case at.Repeatable:
+		return ti.sendRepeatable(re)
+	default:
+		return ti.sendOnce(re)
 	}
-	return ti.sendOnce(re)
+}
+
+// sendRepeatable sends a request again when its flow ended or its agent drains:
+// another flow leads elsewhere.
+func (ti *Tickets) sendRepeatable(re *http.Request) (*http.Response, error) {
+	body, err := readBody(re)
+	if err != nil {
+		return nil, err
+	}
+	for attempt := 1; ; attempt++ {
+		answer, err := ti.Next.RoundTrip(withTicket(re, body, ""))
+		ti.learn(answer)
+		draining := err == nil && refusedBy(answer, dispatch.ReasonDraining)
+		if err == nil && !draining || attempt == attemptLimit || !pause(re) {
+			return answer, err
+		}
+		if draining {
+			answer.Body.Close()
+		}
+	}
+}
+
+// readBody reads the body of a request, which may be sent several times.
+func readBody(re *http.Request) ([]byte, error) {
+	if re.Body == nil {
+		return nil, nil
+	}
+	defer re.Body.Close()
+	body, err := io.ReadAll(re.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "read request body")
+	}
+	return body, nil
 }
 
 // Forget drops all unused tickets, because the agent that issued them is
@@ -76,14 +113,9 @@
 
 // sendOnce sends an unrepeatable request until it has an outcome.
 func (ti *Tickets) sendOnce(re *http.Request) (*http.Response, error) {
-	var body []byte
-	if re.Body != nil {
-		var err error
-		body, err = io.ReadAll(re.Body)
-		re.Body.Close()
-		if err != nil {
-			return nil, errors.Wrap(err, "read request body")
-		}
+	body, err := readBody(re)
+	if err != nil {
+		return nil, err
 	}
 	token := ti.take()
 	for attempt := 1; ; attempt++ {
