--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -88,6 +88,7 @@
 	if record.Incarnation != ag.incarnation {
 		ag.adopt(record)
 	}
+	ag.desk.SetHosts(ag.fleet.Hosts())
 	ag.flowsMu.Lock()
 	defer ag.flowsMu.Unlock()
 	ag.flows.SetSelf(record)
