--- a/internal/coordination/route/steering_test.go
+++ b/internal/coordination/route/steering_test.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -43,7 +42,7 @@
 	takers := 0
 	for i := range pl.names {
 		ag := pl.agents[hostAddress(i)]
-		if ag == nil || ag.dead {
+		if ag == nil || ag.dead || ag.record.Service != testService {
 			continue
 		}
 		if ag.record.State.TakesNewWork() {
@@ -137,7 +136,6 @@
 }
 
 func TestFlowsStayWhole(t *testing.T) {
-	flag.Set("rapid.checks", "500")
 	rapid.Check(t, func(t *rapid.T) {
 		pl := newPlan(t, newTableView)
 		pl.run()
--- a/internal/coordination/route/world_test.go
+++ b/internal/coordination/route/world_test.go
@@ -13,9 +13,11 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
+	// The command line may set others.
 	flag.Set("rapid.seed", "7")
+	flag.Set("rapid.checks", "500")
 	flag.Set("rapid.nofailfile", "true")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
