--- a/internal/coordination/route/pass.go
+++ b/internal/coordination/route/pass.go
@@ -40,8 +40,12 @@
 }
 
 // follow asks the peer that the pointer names, then the candidates that were
-// still to be asked. If none holds the flow, the packet returns to this host.
+// still to be asked. If none holds the flow, the packet returns to this host,
+// or to the first of its chain if the peer was next there anyway.
 func (fl *FlowTable) follow(pa *passage) Decision {
+	if next := pa.Index + 1; next < pa.Chain.Asked && pa.Chain.Hosts[next].same(pa.peer) {
+		return fl.pass(pa.Header, next, RequestAsk)
+	}
 	he := pa.Header
 	he.Chain = Chain{}
 	he.Chain.append(fl.self)
