perf: balancers before subscribers, one subscription at a time

Cause: at 32 nodes an urgent item took 1.8 s: 18 subscribers were sent to first and emptied the bucket.

--- a/internal/coordination/delivery/gossip.go
+++ b/internal/coordination/delivery/gossip.go
@@ -19,7 +19,10 @@
 	// SubscribeInterval is the time between two renewals of a subscription.
 	SubscribeInterval = 2 * time.Second
 	// SubscriptionLifetime is how long a subscription lasts without renewal.
-	SubscriptionLifetime = 10 * time.Second
+	SubscriptionLifetime = 6 * time.Second
+	// SubscriptionTerm is how long a subscriber stays with one peer, so that
+	// it gets most items once.
+	SubscriptionTerm = 10 * time.Second
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 1200
 	// MaxSubscribers bounds the subscriptions that one node serves.
@@ -59,6 +62,9 @@
 	subscribers   []*subscriber
 	nextDigest    time.Time
 	nextSubscribe time.Time
+	// publisher is the peer that this node subscribes to until the deadline.
+	publisher         netip.AddrPort
+	publisherDeadline time.Time
 	turn          int
 }
 
@@ -237,23 +243,33 @@
 }
 
 // flush sends what waits, one message a peer and turn, as far as the budget
-// goes. The peer to start with changes, so that none is starved.
+// goes: to balancers first, which pass it on, then to subscribers. The peer to
+// start with changes, so that none is starved.
 func (gs *Gossip) flush(now time.Time, urgentOnly bool) []Action {
 	var acts []Action
-	count := len(gs.outbox.order)
 	gs.turn++
-	for ii := range count {
-		to := gs.outbox.order[(ii+gs.turn)%count]
-		limit := min(gs.settings.Bucket.Available(now, LivenessReserveBytes), MaxMessageBytes)
-		items := gs.outbox.queues[to].collect(gs.table, limit-messageOverhead, urgentOnly, now)
-		if len(items) == 0 {
-			continue
+	for _, peers := range []bool{true, false} {
+		count := len(gs.outbox.order)
+		for ii := range count {
+			to := gs.outbox.order[(ii+gs.turn)%count]
+			if _, ok := gs.neighbours.places[to]; ok == peers {
+				acts = gs.flushTo(acts, to, urgentOnly, now)
+			}
 		}
-		acts = gs.send(acts, to, Message{Delta: &Delta{Items: items}}, now)
 	}
 	return acts
 }
 
+// flushTo sends one message of what waits for the peer.
+func (gs *Gossip) flushTo(acts []Action, to netip.AddrPort, urgentOnly bool, now time.Time) []Action {
+	limit := min(gs.settings.Bucket.Available(now, LivenessReserveBytes), MaxMessageBytes)
+	items := gs.outbox.queues[to].collect(gs.table, limit-messageOverhead, urgentOnly, now)
+	if len(items) == 0 {
+		return acts
+	}
+	return gs.send(acts, to, Message{Delta: &Delta{Items: items}}, now)
+}
+
 // send appends the message if the budget allows it.
 func (gs *Gossip) send(acts []Action, to netip.AddrPort, msg Message, now time.Time) []Action {
 	if !gs.settings.Bucket.Take(now, msg.Size(), LivenessReserveBytes) {
--- a/internal/coordination/delivery/repair.go
+++ b/internal/coordination/delivery/repair.go
@@ -164,13 +164,9 @@
 	return gs.flush(now, false)
 }
 
-// subscribe renews the subscription at one of the peers when it is due.
+// subscribe renews the subscription when it is due.
 func (gs *Gossip) subscribe(now time.Time) []Action {
-	if now.Before(gs.nextSubscribe) {
-		return nil
-	}
-	pe, ok := gs.neighbours.random(gs.rng)
-	if !ok {
+	if now.Before(gs.nextSubscribe) || !gs.choosePublisher(now) {
 		return nil
 	}
 	gs.nextSubscribe = now.Add(SubscribeInterval)
@@ -179,7 +175,19 @@
 		in.Sum = gs.table.interestSum(in)
 		interests = append(interests, in)
 	}
-	return gs.send(nil, pe.Address, Message{Subscribe: &Subscribe{Interests: interests}}, now)
+	return gs.send(nil, gs.publisher, Message{Subscribe: &Subscribe{Interests: interests}}, now)
+}
+
+// choosePublisher keeps the peer of the subscription for its term while it is
+// a neighbour, and reports whether there is one.
+func (gs *Gossip) choosePublisher(now time.Time) bool {
+	if now.Before(gs.publisherDeadline) && gs.neighbours.picked(gs.publisher) {
+		return true
+	}
+	pe, ok := gs.neighbours.random(gs.rng)
+	gs.publisher = pe.Address
+	gs.publisherDeadline = now.Add(SubscriptionTerm)
+	return ok
 }
 
 // receiveSubscribe notes the subscription and lists the interests in which
--- a/internal/standin/fleet/fleet_bench_test.go
+++ b/internal/standin/fleet/fleet_bench_test.go
@@ -31,6 +31,7 @@
 				b.ReportMetric(float64(fi.Removal.Milliseconds()), "ms-removed-everywhere")
 				b.ReportMetric(float64(fi.Urgent.Milliseconds()), "ms-urgent")
 				b.ReportMetric(float64(fi.Ordinary.Milliseconds()), "ms-ordinary")
+				b.ReportMetric(fi.ChangeBytes, "B/change/balancer")
 				b.ReportMetric(float64(fi.FalseRemovals), "false-removals")
 			})
 		}
--- a/internal/standin/fleet/measure.go
+++ b/internal/standin/fleet/measure.go
@@ -41,6 +41,8 @@
 	// balancers.
 	Urgent   time.Duration
 	Ordinary time.Duration
+	// ChangeBytes is what one balancer sends for one changed record.
+	ChangeBytes float64
 	// FalseRemovals is the number of living nodes that were removed.
 	FalseRemovals int
 }
@@ -57,6 +59,7 @@
 	fl.measureCrash(&fi)
 	fi.Urgent = fl.measureSpread(true)
 	fi.Ordinary = fl.measureSpread(false)
+	fl.measureChanges(&fi)
 	return fi
 }
 
@@ -130,6 +133,21 @@
 	return took
 }
 
+// measureChanges notes what a changed host record costs each balancer, beyond
+// what it sends when nothing happens.
+func (fl *Fleet) measureChanges(fi *Figures) {
+	const changes = 20
+	const span = 5 * time.Second
+	before := spent(fl.Balancers)
+	for number := range changes {
+		nd := fl.Hosts[number%len(fl.Hosts)]
+		fl.Do(nd, nd.Core.SetState(register.StateDraining, fl.Now))
+		fl.Run(span / changes)
+	}
+	sent := float64(spent(fl.Balancers)-before) / float64(fi.Balancers)
+	fi.ChangeBytes = (sent - fi.BalancerBytes*span.Seconds()) / changes
+}
+
 // countBalancers returns at how many balancers the condition holds.
 func (fl *Fleet) countBalancers(condition func(nd *Node) bool) int {
 	count := 0
