--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -28,7 +28,9 @@
 	"corneltiller.dev/corneltiller/internal/protocol/label"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/desk"
 	"corneltiller.dev/corneltiller/internal/transport/fleet"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -36,6 +38,7 @@
 )
 
 const (
+	loadCheck = 500 * time.Millisecond
 	// idleTimeout ends flows whose caller has vanished.
 	idleTimeout = 60 * time.Second
 	// maxFlows bounds the flows that the agent knows, its own and others'.
@@ -53,29 +56,35 @@
 
 // Agent serves one backend server.
 type Agent struct {
-	cfg     Config
-	service register.ServiceID
-	// incarnation is the low part of the record's, as envelopes carry it.
-	incarnation uint16
-	labels      *label.Codec
-	envelopes   *envelope.Codec
-	socket      *socket.Socket
-	relay       *relay
-	transport   *quic.Transport
-	server      *http3.Server
-	control     *link.Listener
-	metrics     *link.Listener
-	pool        *link.Pool
-	fleet       *fleet.Fleet
-	backend     *http.Client
-	abortOnce   sync.Once
-	aborted     chan struct{}
-	counts      counts
+	cfg       Config
+	service   register.ServiceID
+	labels    *label.Codec
+	envelopes *envelope.Codec
+	socket    *socket.Socket
+	relay     *relay
+	labeler   *labeler
+	transport *quic.Transport
+	server    *http3.Server
+	control   *link.Listener
+	metrics   *link.Listener
+	pool      *link.Pool
+	follower  *follower.Follower
+	fleet     *fleet.Fleet
+	desk      *desk.Desk
+	abortOnce sync.Once
+	aborted   chan struct{}
+	counts    counts
 	// connections is the number of open flows.
 	connections atomic.Int64
+	// table is the view of the service's hosts.
+	table atomic.Pointer[route.Table]
 
-	flowsMu sync.Mutex
-	flows   *route.FlowTable
+	// Lock order: viewMu before flowsMu.
+	viewMu sync.Mutex
+	// incarnation is the one that the host's record has.
+	incarnation uint64
+	flowsMu     sync.Mutex
+	flows       *route.FlowTable
 }
 
 // Open takes the agent's addresses.
@@ -85,7 +94,6 @@
 		service:   register.ServiceID(cfg.Service),
 		envelopes: envelope.NewCodec(cfg.Material.Secret()),
 		pool:      link.NewPool(cfg.Material.PeerClientTLS()),
-		backend:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Slots}},
 		aborted:   make(chan struct{}),
 		counts:    newCounts(cfg.Board),
 	}
@@ -105,18 +113,21 @@
 		return nil, err
 	}
 	ag.openFleet(mux)
+	ag.openDesk(mux, ag.fleet.Record())
 	ag.openServer()
+	ag.follow(mux)
 	return ag, nil
 }
 
-// openFleet makes the host's record, its announcer and the flow table.
+// openFleet makes the host's record and its announcer.
 func (ag *Agent) openFleet(mux *link.Mux) {
 	ag.pool.Sent = func(bytes int) { ag.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
+	ag.table.Store(route.NewTable(ag.steeringKey(), time.Now(), nil))
 	ag.fleet = fleet.OpenAgent(fleet.Config{
 		Pool:    ag.pool,
 		Board:   ag.cfg.Board,
 		Seeds:   ag.cfg.Seeds,
-		Changed: ag.update,
+		Changed: ag.changed,
 	}, register.Host{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ag.socket.Address(),
@@ -126,38 +137,39 @@
 		Weight:   register.FullWeight,
 	})
 	ag.fleet.Register(mux)
-	self := ag.fleet.Record()
-	self.State = register.StateWarming
-	ag.incarnation = uint16(self.Incarnation)
-	ag.flows = route.NewFlowTable(self, route.KeyOf(ag.cfg.Material.Secret()), time.Now(), maxFlows)
-}
-
-// update tells the flow table what the fleet's view says of this host and of
-// the others of its service.
-func (ag *Agent) update() {
-	ag.flowsMu.Lock()
-	defer ag.flowsMu.Unlock()
-	ag.flows.SetSelf(ag.fleet.Record())
-	for _, ho := range ag.fleet.Project() {
-		if ho.Address != ag.Datagrams() {
-			ag.flows.Observe(ho)
-		}
-	}
 }
 
 func (ag *Agent) openServer() {
 	ag.relay = newRelay(ag.socket.Address(), ag.sendToCaller)
-	la := &labeler{
-		codec: ag.labels,
-		place: label.Place{Service: ag.service, Host: ag.Datagrams(), Incarnation: ag.incarnation},
-	}
-	la.last.Store(startNonce())
+	ag.labeler = &labeler{codec: ag.labels}
+	ag.labeler.last.Store(startNonce())
+	ag.adopt(ag.fleet.Record())
 	ag.transport = &quic.Transport{
 		Conn:                  ag.relay,
-		ConnectionIDGenerator: la,
+		ConnectionIDGenerator: ag.labeler,
 		StatelessResetKey:     resetKey(ag.cfg.Material.Secret()),
 	}
-	ag.server = &http3.Server{Handler: ag, ConnContext: ag.countConnection}
+	ag.server = &http3.Server{Handler: ag.desk, ConnContext: ag.countConnection}
+}
+
+// adopt takes an incarnation of the host's own record. The caller holds viewMu
+// or is alone.
+func (ag *Agent) adopt(record register.Host) {
+	ag.incarnation = record.Incarnation
+	ag.labeler.place.Store(&label.Place{
+		Service:     ag.service,
+		Host:        record.Address,
+		Incarnation: uint16(record.Incarnation),
+	})
+	ag.flowsMu.Lock()
+	defer ag.flowsMu.Unlock()
+	ag.flows = route.NewFlowTable(record, ag.steeringKey(), time.Now(), maxFlows)
+	ag.flows.SetConnections(int(ag.connections.Load()))
+}
+
+// steeringKey returns the key that balancers and agents share.
+func (ag *Agent) steeringKey() route.Key {
+	return route.KeyOf(ag.cfg.Material.Secret())
 }
 
 // countConnection tells the flow table how many flows are open.
@@ -209,6 +221,8 @@
 	eg.Go(func() error { return ag.control.Run(serving) })
 	eg.Go(func() error { return ag.metrics.Run(serving) })
 	eg.Go(func() error { return ag.fleet.Run(serving) })
+	eg.Go(func() error { return ag.announceLoad(serving) })
+	eg.Go(func() error { return ag.follower.Run(serving) })
 	eg.Go(func() error {
 		if err := ag.server.ServeListener(listener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
@@ -230,6 +244,7 @@
 	ag.relay.Close()
 	ag.socket.Close()
 	ag.pool.Close()
+	ag.desk.Close()
 	err = eg.Wait()
 	klog.InfoS("Agent stopped", "Datagrams", ag.Datagrams())
 	return err
@@ -248,16 +263,34 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	ag.fleet.SetState(register.StateDraining)
-	ag.update()
+	ag.changed()
+	stopped := ag.stopDesk(deadline)
 	if err := ag.server.Shutdown(ctx); err != nil {
-		klog.InfoS("Agent stopped with open requests", "Err", err)
+		klog.InfoS("Agent stopped with open flows", "Err", err)
 	}
+	<-stopped
 	// New flows come here until the last balancer knows that the host leaves.
 	socket.AwaitQuiet(ag.traffic, deadline)
 	ag.fleet.SetState(register.StateGone)
 	ag.fleet.Flush(ctx)
 }
 
+// announceLoad tells the fleet how busy the backend server is, and brings the
+// table over its deadlines.
+func (ag *Agent) announceLoad(ctx context.Context) error {
+	ticker := time.NewTicker(loadCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			ag.fleet.SetLoad(ag.desk.Load())
+			ag.changed()
+		}
+	}
+}
+
 // traffic returns the number of callers' datagrams taken so far.
 func (ag *Agent) traffic() int64 {
 	return ag.counts.accepted.Count() + ag.counts.passed.Count()
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -24,6 +24,7 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
 	"corneltiller.dev/corneltiller/internal/transport/link"
@@ -48,14 +49,16 @@
 	control   *link.Listener
 	metrics   *link.Listener
 	addresses atomic.Pointer[addresses]
-	table     atomic.Pointer[route.Table]
-	// tableMu orders the writers of table.
-	tableMu   sync.Mutex
-	directory *directory
-	entrances *entrances
-	counts    counts
-	abortOnce sync.Once
-	aborted   chan struct{}
+	// configuration is what addresses was made from.
+	configuration atomic.Pointer[catalog.Configuration]
+	table         atomic.Pointer[route.Table]
+	directory     *directory
+	entrances     *entrances
+	pool          *link.Pool
+	follower      *follower.Follower
+	counts        counts
+	abortOnce     sync.Once
+	aborted       chan struct{}
 }
 
 // counts are the metrics of the hot path.
@@ -80,6 +83,8 @@
 func Open(ctx context.Context, cfg Config) (*Balancer, error) {
 	ba := &Balancer{cfg: cfg, counts: newCounts(cfg.Board), aborted: make(chan struct{})}
 	ba.entrances = newEntrances(ba)
+	ba.pool = link.NewPool(cfg.Material.PeerClientTLS())
+	ba.pool.Sent = func(bytes int) { cfg.Board.Count("ControlBytesSent", int64(bytes)) }
 	var err error
 	if ba.labels, err = label.NewCodec(cfg.Material.Secret()); err != nil {
 		return nil, err
@@ -93,8 +98,9 @@
 	}
 	ba.answers = ba.hosts.Address()
 	ba.Apply(configurationOf(cfg.Services))
-	ba.table.Store(route.NewTable(route.KeyOf(cfg.Material.Secret()), time.Now(), nil))
+	ba.table.Store(route.NewTable(ba.steeringKey(), time.Now(), nil))
 	mux := link.NewMux()
+	ba.registerQuery(mux)
 	srv := &link.Server{Mux: mux, Refused: func(link.Peer, error) { cfg.Board.Count("MessagesRefused", 1) }}
 	if ba.control, err = link.Listen(ctx, cfg.Control, cfg.Material.PeerServerTLS(), srv); err != nil {
 		return nil, err
@@ -104,6 +110,7 @@
 	}
 	ba.directory = newDirectory(ba)
 	ba.directory.fleet.Register(mux)
+	ba.follow(mux)
 	return ba, nil
 }
 
@@ -119,12 +126,18 @@
 // Apply puts a configuration in force.
 func (ba *Balancer) Apply(cfg *catalog.Configuration) {
 	ad := newAddresses(cfg)
+	ba.configuration.Store(cfg)
 	ba.addresses.Store(ad)
 	if !ba.framed() {
 		ba.entrances.set(ad)
 	}
 }
 
+// steeringKey returns the key that balancers and agents share.
+func (ba *Balancer) steeringKey() route.Key {
+	return route.KeyOf(ba.cfg.Material.Secret())
+}
+
 // framed reports whether the fabric wraps callers' datagrams in frames.
 func (ba *Balancer) framed() bool {
 	return ba.cfg.Fabric.IsValid()
@@ -159,6 +172,7 @@
 	eg.Go(func() error { return ba.metrics.Run(serving) })
 	eg.Go(func() error { return ba.directory.run(serving) })
 	eg.Go(func() error { return ba.directory.fleet.Run(serving) })
+	eg.Go(func() error { return ba.follower.Run(serving) })
 
 	select {
 	case <-ctx.Done():
@@ -171,7 +185,7 @@
 	ba.entrances.close()
 	ba.hosts.Close()
 	err := eg.Wait()
-	ba.directory.pool.Close()
+	ba.pool.Close()
 	klog.InfoS("Balancer stopped", "Hosts", ba.Hosts())
 	return err
 }
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -2,32 +2,44 @@
 
 import (
 	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/fleet"
-	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
-// directoryCheck is the time between two looks at the table's deadline.
-const directoryCheck = 500 * time.Millisecond
+const (
+	tableCheck = 500 * time.Millisecond
+	// generationBits is the part of a table's sequence that counts configurations.
+	generationBits = 32
+)
 
-// directory keeps the steering table in step with the fleet's view.
+// directory keeps the steering table in step with the fleet's view and the
+// configuration in force.
 type directory struct {
 	balancer *Balancer
-	pool     *link.Pool
 	fleet    *fleet.Fleet
+
+	// mu orders the writers of the balancer's table.
+	mu sync.Mutex
+	// hosts are the records as the fleet's view last gave them.
+	hosts map[netip.AddrPort]register.Host
+	// generation counts the configurations applied.
+	generation uint64
 }
 
 // newDirectory returns the directory of a balancer whose addresses are taken.
 func newDirectory(ba *Balancer) *directory {
-	di := &directory{balancer: ba, pool: link.NewPool(ba.cfg.Material.PeerClientTLS())}
-	di.pool.Sent = func(bytes int) { ba.cfg.Board.Count("ControlBytesSent", int64(bytes)) }
+	di := &directory{balancer: ba, hosts: make(map[netip.AddrPort]register.Host)}
 	di.fleet = fleet.OpenBalancer(fleet.Config{
-		Pool:    di.pool,
+		Pool:    ba.pool,
 		Board:   ba.cfg.Board,
 		Seeds:   ba.cfg.Seeds,
-		Changed: di.update,
+		Changed: di.changed,
 		Joined:  di.joined,
 	}, register.Balancer{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
@@ -40,7 +52,7 @@
 
 // joined takes the balancer into service once its view is complete.
 func (di *directory) joined() {
-	di.update()
+	di.changed()
 	di.fleet.SetState(register.StateReady)
 	di.balancer.cfg.Board.SetReady(true)
 }
@@ -55,37 +67,72 @@
 	return ba.directory.fleet
 }
 
-// run follows the fleet's view until the context ends.
+// run advances the table when one of its deadlines has passed.
 func (di *directory) run(ctx context.Context) error {
-	ticker := time.NewTicker(directoryCheck)
+	ticker := time.NewTicker(tableCheck)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			di.update()
+			di.changed()
 		}
 	}
 }
 
-// update puts the table after the changes of the view in force. The lock is
-// held from the reading to the storing, so that changes are put in force in
-// their order.
-func (di *directory) update() {
-	ba := di.balancer
-	ba.tableMu.Lock()
-	defer ba.tableMu.Unlock()
-	di.advance(time.Now(), di.fleet.Project())
+// changed brings the hosts that changed into the table.
+func (di *directory) changed() {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.advance(di.project())
+}
+
+// rebuild applies a new configuration to every known host.
+func (di *directory) rebuild() {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.generation++
+	di.project()
+	di.advance(slices.Collect(maps.Values(di.hosts)))
+}
+
+// project returns the hosts that changed and keeps their records.
+func (di *directory) project() []register.Host {
+	changed := di.fleet.Project()
+	for _, ho := range changed {
+		if ho.State == register.StateGone {
+			delete(di.hosts, ho.Address)
+			continue
+		}
+		di.hosts[ho.Address] = ho
+	}
+	return changed
 }
 
-// advance puts the table after the announced records in force. It is called
-// with Balancer.tableMu held.
-func (di *directory) advance(now time.Time, announced []register.Host) {
-	ba := di.balancer
+// advance puts the table after the changed records in force. The caller holds mu.
+func (di *directory) advance(changed []register.Host) {
+	ba, now := di.balancer, time.Now()
 	ta := ba.table.Load()
 	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
-	if len(announced) > 0 || due {
-		ba.table.Store(ta.Next(now, announced))
+	if len(changed) == 0 && !due {
+		return
+	}
+	effective := make([]register.Host, 0, len(changed))
+	for _, ho := range changed {
+		effective = append(effective, di.effective(ho))
+	}
+	ba.table.Store(ta.Next(now, effective))
+}
+
+// effective returns the record as the configuration lets it count. Its sequence
+// also grows with each configuration. The caller holds mu.
+func (di *directory) effective(ho register.Host) register.Host {
+	weight := di.balancer.weight(ho)
+	ho.Sequence = ho.Sequence<<generationBits | di.generation
+	if weight == 0 && ho.State.TakesNewWork() {
+		ho.State = register.StateDraining
 	}
+	ho.Weight = weight
+	return ho
 }
--- a/internal/transport/balancer/forward_bench_test.go
+++ b/internal/transport/balancer/forward_bench_test.go
@@ -166,7 +166,7 @@
 			Weight:   register.FullWeight,
 		})
 	}
-	ba.directory.advance(time.Now(), hosts)
+	ba.table.Store(route.NewTable(ba.steeringKey(), time.Now(), hosts))
 	b.Run("ByBucket", func(b *testing.B) {
 		first := label.Packet{Long: true, Destination: []byte("firstpkt")}
 		caller := netip.MustParseAddrPort("198.51.100.7:4000")
