--- a/internal/coordination/delivery/gossip.go
+++ b/internal/coordination/delivery/gossip.go
@@ -65,7 +65,7 @@
 	// publisher is the peer that this node subscribes to until the deadline.
 	publisher         netip.AddrPort
 	publisherDeadline time.Time
-	turn          int
+	turn              int
 }
 
 // New returns the core of a node that knows no item and no peer.
