feat: the configuration spreads by the fleet's gossip

Balancers take the members of the rollout from the fleet's view, with their failure domains, and publish deltas, announcements and sums as gossip items. An agent whose parent changes withdraws its report from the former one: before, 14 of 13 instances were counted, three of them with version 0.0.

--- a/internal/coordination/rollout/reader.go
+++ b/internal/coordination/rollout/reader.go
@@ -104,10 +104,12 @@
 	re.view = vi
 	was := re.role
 	re.role = roleOf(re.self, vi)
+	var actions []Action
 	if re.role.parent != was.parent || re.role.top != was.top {
 		re.touch(now)
+		actions = withdraw(was.parent)
 	}
-	return re.Tick(now)
+	return append(actions, re.Tick(now)...)
 }
 
 // jitter returns a time between one and two delays from now.
--- a/internal/coordination/rollout/tally.go
+++ b/internal/coordination/rollout/tally.go
@@ -49,8 +49,21 @@
 	}
 }
 
-// Reported takes the report of an instance below.
+// withdraw takes back what a former parent was told, with an empty report.
+func withdraw(parent netip.AddrPort) []Action {
+	if !parent.IsValid() {
+		return nil
+	}
+	return []Action{{Kind: ActionReport, Peer: parent}}
+}
+
+// Reported takes the report of an instance below. An empty one withdraws it.
 func (re *Reader) Reported(now time.Time, from netip.AddrPort, rp Report) []Action {
+	if rp.Instances == 0 {
+		delete(re.below, from)
+		re.touch(now)
+		return re.Tick(now)
+	}
 	old, known := re.below[from]
 	re.below[from] = received{Report: rp, expires: now.Add(ReportExpiry)}
 	if !known || !old.same(rp) {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/delivery"
 	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
@@ -128,6 +129,7 @@
 		Board:   ag.cfg.Board,
 		Seeds:   ag.cfg.Seeds,
 		Changed: ag.changed,
+		Deliver: func(from netip.AddrPort, it delivery.Item) { ag.follower.Deliver(from, it) },
 	}, register.Host{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ag.socket.Address(),
--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -11,20 +11,16 @@
 	"corneltiller.dev/corneltiller/internal/transport/link"
 )
 
-// follow prepares the follower, which asks the balancers for the accepted
-// configuration. An agent never calls the store.
+// follow prepares the follower, which hears of changes by gossip and asks the
+// balancers for what it missed. An agent never calls the store.
 func (ag *Agent) follow(mux *link.Mux) {
 	ag.follower = follower.New(follower.Config{
-		Self:  rollout.Member{Address: ag.Control()},
-		Pool:  ag.pool,
-		Apply: func(*catalog.Configuration) { ag.cfg.Board.Count("ConfigurationsApplied", 1) },
+		Self:    rollout.Member{Address: ag.Control(), Domain: ag.cfg.Domain},
+		Pool:    ag.pool,
+		Apply:   func(*catalog.Configuration) { ag.cfg.Board.Count("ConfigurationsApplied", 1) },
+		Publish: follower.PublishTo(ag.fleet.Publish),
 	})
 	ag.follower.Register(mux)
-	var members []rollout.Member
-	for _, seed := range ag.cfg.Seeds {
-		members = append(members, rollout.Member{Address: seed})
-	}
-	ag.follower.SetMembers(members)
 	link.On(mux, message.KindQuery, func(context.Context, link.Peer, command.Query) (any, error) {
 		return command.Status{Version: ag.follower.State().Version(), Flows: int(ag.connections.Load())}, nil
 	})
--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -12,6 +12,7 @@
 	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
@@ -77,6 +78,7 @@
 func (ag *Agent) changed() {
 	ag.viewMu.Lock()
 	defer ag.viewMu.Unlock()
+	ag.follower.SetMembers(follower.MembersOf(ag.fleet.Balancers()))
 	now := time.Now()
 	ta := ag.table.Load()
 	hosts := ag.fleet.Project()
--- a/internal/transport/balancer/configuration.go
+++ b/internal/transport/balancer/configuration.go
@@ -16,9 +16,10 @@
 // follow prepares the follower, which keeps the accepted configuration in force.
 func (ba *Balancer) follow(mux *link.Mux) {
 	fc := follower.Config{
-		Self:  rollout.Member{Address: ba.Control()},
-		Pool:  ba.pool,
-		Apply: ba.reconfigure,
+		Self:    ba.member(),
+		Pool:    ba.pool,
+		Apply:   ba.reconfigure,
+		Publish: follower.PublishTo(ba.directory.fleet.Publish),
 		Noticed: func(no rollout.Notice) {
 			ba.cfg.Board.Count("Configuration"+no.Kind.String(), 1)
 		},
@@ -31,15 +32,14 @@
 	ba.follower.SetMembers(ba.members())
 }
 
-// members returns the balancers that the settings name, and this one.
+// member returns the balancer's own entry among the members.
+func (ba *Balancer) member() rollout.Member {
+	return rollout.Member{Address: ba.Control(), Domain: ba.cfg.Domain}
+}
+
+// members returns the live balancers, this one included.
 func (ba *Balancer) members() []rollout.Member {
-	members := []rollout.Member{{Address: ba.Control()}}
-	for _, seed := range ba.cfg.Seeds {
-		if seed != ba.Control() {
-			members = append(members, rollout.Member{Address: seed})
-		}
-	}
-	return members
+	return follower.MembersOf(ba.directory.fleet.Balancers(), ba.member())
 }
 
 // reconfigure puts an accepted configuration in force.
@@ -93,17 +93,6 @@
 		return st
 	}
 	st.Hosts = hosts
-	version := st.Version
-	st.Balancers = []register.Balancer{{
-		Address: ba.Hosts(),
-		Control: ba.Control(),
-		Domain:  ba.cfg.Domain,
-		State:   register.StateReady,
-		Term:    version.Term,
-		Version: version.Number,
-	}}
-	for _, me := range members[1:] {
-		st.Balancers = append(st.Balancers, register.Balancer{Control: me.Address})
-	}
+	st.Balancers = ba.directory.fleet.Balancers()
 	return st
 }
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/delivery"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/fleet"
 )
@@ -41,6 +42,7 @@
 		Seeds:   ba.cfg.Seeds,
 		Changed: di.changed,
 		Joined:  di.joined,
+		Deliver: func(from netip.AddrPort, it delivery.Item) { ba.follower.Deliver(from, it) },
 	}, register.Balancer{
 		Revision: register.Revision{Incarnation: uint64(time.Now().UnixMilli())},
 		Address:  ba.answers,
@@ -83,6 +85,7 @@
 
 // changed brings the hosts that changed into the table.
 func (di *directory) changed() {
+	di.balancer.follower.SetMembers(di.balancer.members())
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.advance(di.project())
--- a/internal/transport/console/console.go
+++ b/internal/transport/console/console.go
@@ -32,7 +32,7 @@
 	readTimeout = 5 * time.Second
 	// inForceTimeout is how long the console watches an accepted change come
 	// into force before it reports what it saw.
-	inForceTimeout = 5 * time.Second
+	inForceTimeout = 10 * time.Second
 	// inForceInterval is the time between two questions meanwhile.
 	inForceInterval = 200 * time.Millisecond
 	// collectEvery is how many versions lie between two collections.
--- a/internal/transport/follower/follower.go
+++ b/internal/transport/follower/follower.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,9 @@
 	// PollDirect is the time between two questions to peers without gossip.
 	PollDirect = time.Second
 	// PollGossip is the same with gossip, which brings changes sooner.
-	PollGossip = 30 * time.Second
+	PollGossip = 10 * time.Second
+	// PollAgent is the same for an agent, which gossip may reach late.
+	PollAgent = 2 * time.Second
 	// MaxDirect is the number of members that get items without gossip.
 	MaxDirect = 32
 	// peerTimeout bounds a message to a peer and its answer.
@@ -119,6 +122,12 @@
 
 // SetMembers takes the live balancers. A balancer's own entry is among them.
 func (fo *Follower) SetMembers(members []rollout.Member) {
+	fo.mu.Lock()
+	same := fo.members != nil && slices.Equal(fo.members, members)
+	fo.mu.Unlock()
+	if same {
+		return
+	}
 	vi := rollout.NewView(members)
 	fo.do(func(now time.Time) []rollout.Action {
 		fo.members = members
@@ -150,7 +159,10 @@
 	fo.start(ctx)
 	defer fo.stop()
 	poll := PollDirect
-	if fo.cfg.Publish != nil {
+	switch {
+	case fo.cfg.Publish != nil && fo.cfg.Store == nil:
+		poll = PollAgent
+	case fo.cfg.Publish != nil:
 		poll = PollGossip
 	}
 	polls := time.NewTicker(poll)
--- /dev/null
+++ b/internal/transport/follower/gossip.go
@@ -0,0 +1,63 @@
+package follower
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/delivery"
+	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// lifetimeSeconds is how long announcements and sums of an instance that has
+// gone stay in gossip. Deltas stay until another takes their slot.
+const lifetimeSeconds = 120
+
+// Deliver takes an item from the fleet's gossip. Items of other kinds are left
+// to others.
+func (fo *Follower) Deliver(_ netip.AddrPort, it delivery.Item) {
+	if it.Kind != delivery.KindConfiguration && it.Kind != delivery.KindAcknowledgement {
+		return
+	}
+	fo.Heard(rollout.Item{Key: string(it.Key), Revision: it.Revision, Urgent: it.Urgent, Body: it.Body})
+}
+
+// PublishTo returns a Config.Publish that hands items to the fleet's gossip.
+func PublishTo(publish func(delivery.Item) error) func(rollout.Item) {
+	return func(it rollout.Item) {
+		item := delivery.Item{
+			Revision: it.Revision,
+			Kind:     delivery.KindConfiguration,
+			Key:      delivery.Key(it.Key),
+			Scope:    delivery.ScopeAll,
+			Urgent:   it.Urgent,
+			Body:     it.Body,
+		}
+		if strings.HasPrefix(it.Key, rollout.KeySum) {
+			item.Kind = delivery.KindAcknowledgement
+		}
+		if !strings.HasPrefix(it.Key, rollout.KeyDelta) {
+			item.RemainingSeconds = lifetimeSeconds
+		}
+		if err := publish(item); err != nil {
+			klog.ErrorS(err, "Item not published", "Key", it.Key, "Bytes", len(it.Body))
+		}
+	}
+}
+
+// MembersOf returns the balancers of the fleet as members, the process's own
+// entry included if it is a balancer.
+func MembersOf(balancers []register.Balancer, own ...rollout.Member) []rollout.Member {
+	members := slices.Clone(own)
+	for _, ba := range balancers {
+		me := rollout.Member{Address: ba.Control, Domain: ba.Domain}
+		if !slices.Contains(own, me) {
+			members = append(members, me)
+		}
+	}
+	slices.SortFunc(members, func(a, b rollout.Member) int { return a.Address.Compare(b.Address) })
+	return members
+}
