--- a/internal/coordination/change/change_test.go
+++ b/internal/coordination/change/change_test.go
@@ -47,6 +47,8 @@
 	called  time.Time
 	ended   time.Time
 	outcome change.Outcome
+	// fate is what an inquiry said after an unknown outcome.
+	fate change.Fate
 }
 
 // race lets operators change the configuration around the end of the month
@@ -96,6 +98,27 @@
 	wo.process(co, co.Deadline, pausePercent, func() {
 		at.ended = wo.now
 		at.outcome = co.Outcome()
+		if at.outcome.Kind == change.OutcomeUnknown {
+			wo.inquire(at, pausePercent)
+		}
+	})
+}
+
+// inquire settles a change of unknown outcome, as an operator would, until the
+// store answers.
+func (wo *world) inquire(at *attempt, pausePercent int) {
+	in, err := change.NewInquiry(at.outcome.Identity, true)
+	if err != nil {
+		panic(err)
+	}
+	deadline := wo.now.Add(10 * time.Second)
+	wo.process(in, func() time.Time { return deadline }, pausePercent, func() {
+		fate, _, err := in.Fate()
+		if err != nil || fate == change.FatePending {
+			wo.at(wo.now.Add(time.Second), func() { wo.inquire(at, pausePercent) })
+			return
+		}
+		at.fate = fate
 	})
 }
 
@@ -130,6 +153,8 @@
 				t.Fatalf("accepted change %s is not in force", name)
 			case at.outcome.Kind == change.OutcomeRefused && times != 0:
 				t.Fatalf("refused change %s took effect: %s", name, at.outcome.Reason)
+			case at.outcome.Kind == change.OutcomeUnknown && (at.fate == change.FateAccepted) != (times == 1):
+				t.Fatalf("change %s applied %d times, the inquiry said %d", name, times, at.fate)
 			case at.outcome.Kind == 0:
 				t.Fatalf("change %s has no outcome", name)
 			}
@@ -211,3 +236,73 @@
 		}
 	})
 }
+
+func TestReinstatement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wo := newWorld(rapid.Uint64().Draw(t, "seed"), monthEnd)
+		ow := newOwner("glenrug")
+		wo.setup(ow)
+		number := 0
+		add := func() {
+			number++
+			at := &attempt{number: number}
+			wo.attempt(at, ow, 0)
+			wo.run()
+			if at.outcome.Kind != change.OutcomeAccepted {
+				t.Fatalf("change: %s", at.outcome.Reason)
+			}
+		}
+		add()
+		backup := wo.objects.Backup()
+		for range rapid.IntRange(1, 5).Draw(t, "changes") {
+			add()
+		}
+		inForce, err := wo.snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		wo.objects.Restore(backup)
+		wo.lossPercent = rapid.SampledFrom([]int{0, 10, 25}).Draw(t, "loss")
+		wo.stragglePercent = rapid.SampledFrom([]int{0, 20}).Draw(t, "straggle")
+		deadline := func() time.Time { return monthEnd.Add(time.Hour) }
+		for range 3 {
+			wo.at(wo.now.Add(time.Duration(wo.random.IntN(2000))*time.Millisecond), func() {
+				wo.process(change.NewCollection(), deadline, 20, func() {})
+			})
+		}
+		re := change.NewReinstatement(inForce)
+		wo.process(re, deadline, 5, func() {})
+		wo.run()
+		after, err := wo.snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if re.Outcome().Kind == change.OutcomeAccepted && after.Root.Version != inForce.Root.Version {
+			t.Fatalf("the store holds %s after %s was reinstated", after.Root.Version, inForce.Root.Version)
+		}
+		if re.Outcome().Kind == change.OutcomeRefused && after.Root.Version == inForce.Root.Version {
+			t.Fatalf("refused, but reinstated: %s", re.Outcome().Reason)
+		}
+		if _, err := after.Configuration(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestStoreThatWentBackIsNotChanged(t *testing.T) {
+	wo := newWorld(1, monthEnd)
+	ow := newOwner("glenrug")
+	wo.setup(ow)
+	co := change.New(change.Request{
+		Owner:    ow.name,
+		Sign:     ow.sign,
+		Edits:    []change.Edit{marker(1)},
+		InForce:  catalog.Version{Term: 1, Number: 2},
+		Deadline: wo.now.Add(time.Minute),
+	}, wo.random)
+	wo.process(co, co.Deadline, 0, func() {})
+	wo.run()
+	if ou := co.Outcome(); ou.Kind != change.OutcomeRefused {
+		t.Fatalf("%s: %s", ou.Kind, ou.Reason)
+	}
+}
