feat: requests are classed and measured by the accepted configuration

The configuration says by path which traffic is urgent, callers can only lower their own, and histograms and outcome counts carry tenant firm and class.

--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -17,7 +17,7 @@
 	ag.follower = follower.New(follower.Config{
 		Self:  rollout.Member{Address: ag.Control()},
 		Pool:  ag.pool,
-		Apply: func(*catalog.Configuration) { ag.cfg.Board.Count("ConfigurationsApplied", 1) },
+		Apply: ag.apply,
 	})
 	ag.follower.Register(mux)
 	var members []rollout.Member
@@ -30,6 +30,17 @@
 	})
 }
 
+// apply puts the part of an accepted configuration in force that concerns this
+// host's service.
+func (ag *Agent) apply(co *catalog.Configuration) {
+	ag.cfg.Board.Count("ConfigurationsApplied", 1)
+	for _, sv := range co.Services {
+		if sv.ID == ag.service {
+			ag.desk.SetService(sv)
+		}
+	}
+}
+
 // Configuration returns what is in force, nil before the first one has come.
 func (ag *Agent) Configuration() *catalog.Configuration {
 	st := ag.follower.State()
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -23,6 +23,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -30,6 +31,7 @@
 	"corneltiller.dev/corneltiller/internal/coordination/dispatch"
 	"corneltiller.dev/corneltiller/internal/protocol/relay"
 	"corneltiller.dev/corneltiller/internal/protocol/ticket"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/ledger"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
@@ -55,7 +57,7 @@
 type Config struct {
 	// Host is the record of the host that the agent announces.
 	Host register.Host
-	// Label names the service or its tenant firm in metrics.
+	// Label names the service in metrics until SetService.
 	Label   string
 	Slots   int
 	Backend netip.AddrPort
@@ -72,6 +74,7 @@
 	sealer  ticket.Sealer
 	backend http.RoundTripper
 	meters  meters
+	service atomic.Pointer[catalog.Service]
 
 	mu       sync.Mutex
 	core     *dispatch.Desk
@@ -103,7 +106,7 @@
 			MaxIdleConnsPerHost: cfg.Slots,
 			DisableCompression:  true,
 		},
-		meters: newMeters(cfg.Board, cfg.Label),
+		meters: meters{board: cfg.Board},
 		core: dispatch.NewDesk(now, dispatch.Settings{
 			Home:    home,
 			Service: cfg.Host.Service,
--- a/internal/transport/desk/meters.go
+++ b/internal/transport/desk/meters.go
@@ -7,24 +7,18 @@
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
 
-// meters are the metrics of the requests. Each label is that of the tenant
-// firm or service, followed by the class, or by outcome and reason.
+// meters are the metrics of the requests. Each label names the tenant firm and
+// the class.
 type meters struct {
 	board *gauge.Board
-	label string
-}
-
-// newMeters returns the meters of a label.
-func newMeters(bo *gauge.Board, label string) meters {
-	return meters{board: bo, label: label}
 }
 
 // observe enters the time from the arrival of a request to its last byte.
-func (me meters) observe(cl dispatch.Class, took time.Duration) {
-	me.board.Observe("RequestMilliseconds", me.label+"/"+cl.String(), took)
+func (me meters) observe(label string, took time.Duration) {
+	me.board.Observe("RequestMilliseconds", label, took)
 }
 
 // count enters an outcome.
-func (me meters) count(re dispatch.Respond) {
-	me.board.Count("Outcomes."+me.label+"/"+re.Outcome.String()+"/"+re.Reason.String(), 1)
+func (me meters) count(label string, re dispatch.Respond) {
+	me.board.Count("Outcomes."+label+"/"+re.Outcome.String()+"/"+re.Reason.String(), 1)
 }
--- a/internal/transport/desk/serve.go
+++ b/internal/transport/desk/serve.go
@@ -37,7 +37,9 @@
 		refuse(wr, http.StatusRequestEntityTooLarge, ledger.NotRun, err)
 		return
 	}
-	defer func() { de.meters.observe(at.Class, time.Since(start)) }()
+	at.Class = de.classify(re.URL.Path, at.Class)
+	label := de.label(re.URL.Path, at.Class)
+	defer func() { de.meters.observe(label, time.Since(start)) }()
 	ta := newTask(de.newRequest(re, body, at, ti))
 	de.serve(wr, re, ta, dispatch.Request{
 		Caller:     ta.request.Caller,
@@ -89,10 +91,10 @@
 	id := de.open(ta, dr)
 	select {
 	case resp := <-ta.done:
-		de.meters.count(resp)
+		de.meters.count(de.label(re.URL.Path, dr.Class), resp)
 		de.write(wr, resp)
 	case st := <-ta.stream:
-		de.copy(wr, re, id, st)
+		de.copy(wr, re, ta, id, st)
 	case <-re.Context().Done():
 		de.leave(id)
 	}
@@ -122,7 +124,7 @@
 
 // copy streams an answer and tells its execution how that ended. The stream is
 // reset unless the answer was whole.
-func (de *Desk) copy(wr http.ResponseWriter, re *http.Request, id dispatch.RequestID, st stream) {
+func (de *Desk) copy(wr http.ResponseWriter, re *http.Request, ta *task, id dispatch.RequestID, st stream) {
 	de.mark(wr.Header(), ledger.Answered, dispatch.ReasonNone, st.fresh)
 	for _, fi := range fields(st.answer.Header) {
 		wr.Header().Add(fi.Name, fi.Value)
@@ -131,7 +133,7 @@
 	_, err := io.Copy(wr, io.MultiReader(bytes.NewReader(st.prefix), st.answer.Body))
 	if err == nil {
 		st.result <- dispatch.ResultWhole
-		de.meters.count(dispatch.Respond{Outcome: ledger.Answered})
+		de.meters.count(de.label(re.URL.Path, ta.request.Class), dispatch.Respond{Outcome: ledger.Answered})
 		return
 	}
 	if re.Context().Err() != nil {
