--- a/cmd/root.go
+++ b/cmd/root.go
@@ -95,6 +95,7 @@
 		agentCommand(),
 		callCommand(),
 		checkCommand(),
+		capacityCommand(),
 		ctlCommand(),
 		demoCommand(),
 		standinCommand(),
--- /dev/null
+++ b/internal/standin/capacity/configuration.go
@@ -0,0 +1,80 @@
+package capacity
+
+import (
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/standin/spread"
+)
+
+const (
+	configurationWarmUp = time.Minute
+	configurationWindow = time.Minute
+	// inForceLimit is when a change that isn't in force is given up.
+	inForceLimit = time.Minute
+	// changesMeasured is the number of changes of which the mean is taken.
+	changesMeasured = 5
+	lossPercent     = 10
+	targetDomains   = 9
+)
+
+func configurationExperiments() []experiment {
+	bound := []experiment{
+		{
+			Slope:   Slope{Role: "platform", Quantity: "store calls a second in quiet", Unit: "calls/s", Per: "instances"},
+			measure: quietCalls,
+		},
+		{
+			Slope:   Slope{Role: "balancer", Quantity: "time until a change is in force everywhere", Unit: "s", Per: "instances"},
+			measure: timeToInForce,
+		},
+		{
+			Slope:   Slope{Role: "balancer", Quantity: "bytes sent for one change", Unit: "B", Per: "instances"},
+			measure: bytesForChange,
+		},
+	}
+	bound[1].Logarithmic = true
+	for i := range bound {
+		bound[i].Sizes = []float64{32, 64, 128, 256, 512}
+		bound[i].Target = TargetNodes
+	}
+	return bound
+}
+
+func newSpread(instances int) *spread.Fleet {
+	fl := spread.New(spread.Options{Instances: instances, Domains: targetDomains, LossPercent: lossPercent, Seed: measureSeed})
+	fl.Run(configurationWarmUp)
+	return fl
+}
+
+func quietCalls(instances int) float64 {
+	fl := newSpread(instances)
+	before := fl.Calls.Total()
+	fl.Run(configurationWindow)
+	return float64(fl.Calls.Total()-before) / configurationWindow.Seconds()
+}
+
+// timeToInForce returns the mean over changes made one after another.
+func timeToInForce(instances int) float64 {
+	fl := newSpread(instances)
+	var sum time.Duration
+	for number := range changesMeasured {
+		fl.Change(spread.Marker(number))
+		elapsed, _ := fl.UntilInForce(inForceLimit)
+		sum += elapsed
+	}
+	return sum.Seconds() / changesMeasured
+}
+
+// bytesForChange returns what a change adds to what one instance sends.
+func bytesForChange(instances int) float64 {
+	fl := newSpread(instances)
+	before := fl.Bytes
+	fl.Run(configurationWindow)
+	quiet := float64(fl.Bytes - before)
+	before = fl.Bytes
+	for number := range changesMeasured {
+		fl.Change(spread.Marker(number))
+		fl.Run(configurationWindow / changesMeasured)
+	}
+	return (float64(fl.Bytes-before) - quiet) / changesMeasured / float64(instances)
+}
