--- a/cmd/capacity.go
+++ b/cmd/capacity.go
@@ -46,5 +46,8 @@
 	if err != nil {
 		return errors.Wrapf(err, "write page %s", op.Write)
 	}
-	return errors.Wrap(os.WriteFile(op.Write, []byte(page), pageMode), "write page")
+	if err := os.WriteFile(op.Write, []byte(page), pageMode); err != nil {
+		return errors.Wrap(err, "write page")
+	}
+	return nil
 }
--- a/internal/standin/capacity/configuration.go
+++ b/internal/standin/capacity/configuration.go
@@ -32,7 +32,9 @@
 			measure: bytesForChange,
 		},
 	}
+	// News passes through a number of rounds that grows with the logarithm.
 	bound[1].Logarithmic = true
+	bound[2].Logarithmic = true
 	for i := range bound {
 		bound[i].Sizes = []float64{32, 64, 128, 256, 512}
 		bound[i].Target = TargetNodes
--- a/internal/standin/capacity/page.go
+++ b/internal/standin/capacity/page.go
@@ -56,6 +56,9 @@
 	return head + BeginMarker + "\n" + generated + "\n" + EndMarker + tail, nil
 }
 
+// goodFit is the determination below which a figure is marked as uncertain.
+const goodFit = 0.9
+
 // claim is one row of the table by role.
 type claim struct {
 	role string
@@ -83,7 +86,11 @@
 	if !ok {
 		return "not measured"
 	}
-	return amount(sl.At(sl.Target), sl.Unit)
+	figure := amount(sl.At(sl.Target), sl.Unit)
+	if !sl.Constant() && sl.Determination < goodFit {
+		figure += " (weak fit)"
+	}
+	return figure
 }
 
 // limitText returns the limit and whether the figure keeps it.
