--- a/internal/standin/capacity/page.go
+++ b/internal/standin/capacity/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -36,9 +37,9 @@
 	page.WriteString("\n## Slopes\n\n")
 	page.WriteString("| role | quantity | n | sizes | line | R² | largest residual | at the target |\n|---|---|---|---|---|---|---|---|\n")
 	for _, sl := range slopes {
-		fmt.Fprintf(&page, "| %s | %s | %s | %s | %s | %.3f | %.0f%% | %s |\n",
+		fmt.Fprintf(&page, "| %s | %s | %s | %s | %s | %s | %.0f%% | %s |\n",
 			sl.Role, sl.Quantity, sl.Per, sizesText(sl), lineText(sl),
-			sl.Determination, 100*sl.Residual, amount(sl.At(sl.Target), sl.Unit))
+			determinationText(sl), 100*sl.Residual, amount(sl.At(sl.Target), sl.Unit))
 	}
 	return page.String()
 }
@@ -125,7 +126,7 @@
 	case unit == "s" && magnitude < 1:
 		return fmt.Sprintf("%.3g ms", value*1e3)
 	default:
-		return strings.TrimSpace(fmt.Sprintf("%.3g %s", value, unit))
+		return strings.TrimSpace(fmt.Sprintf("%.4g %s", value, unit))
 	}
 }
 
@@ -137,6 +138,14 @@
 	return strings.Join(texts, ", ")
 }
 
+// determinationText is a dash when all values are equal.
+func determinationText(sl Slope) string {
+	if math.IsNaN(sl.Determination) {
+		return "–"
+	}
+	return fmt.Sprintf("%.3f", sl.Determination)
+}
+
 func lineText(sl Slope) string {
 	switch {
 	case sl.Constant():
