feat: the demo's owners change, race and hand the say on

Cause: no plan drove the configuration. Every plan now starts from a signed configuration in the store; operators' attempts are compared with what is in force on every instance at the end.

--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -28,6 +28,7 @@
 	yardlineFlows  = 120
 	ledgerFlows    = 40
 	slotsPerServer = 2
+	inForceLimit   = 19 * time.Second
 	nodeCount      = balancerCount + yardlineHosts + ledgerwashHosts
 )
 
@@ -60,9 +61,14 @@
 	if err != nil {
 		return nil, err
 	}
+	defer fl.pool.Close()
 	if err := fl.awaitReady(ctx); err != nil {
 		return nil, err
 	}
+	if err := fl.configure(ctx); err != nil {
+		return nil, err
+	}
+	go fl.watchVersions(running)
 	select {
 	case <-ctx.Done():
 	case <-time.After(warmUp):
@@ -125,6 +131,7 @@
 	cb := &callerBook{}
 	tr := &traffic{authority: fl.material.Authority(), book: cb, seed: op.Seed}
 	start := time.Now()
+	sentBefore := fl.controlBytes()
 	driving, stop := context.WithTimeout(ctx, op.Duration)
 	defer stop()
 
@@ -142,10 +149,11 @@
 	if err := eg.Wait(); err != nil {
 		return nil, err
 	}
-	fl.shutdown()
 	re.StoreCalls = fl.platform.Calls().Total()
 	elapsed := time.Since(start).Seconds()
-	re.ControlBytesPerNodeSecond = float64(fl.sent.Load()) / nodeCount / elapsed
+	re.ControlBytesPerNodeSecond = float64(fl.controlBytes()-sentBefore) / nodeCount / elapsed
+	fl.checkChanges(re)
+	fl.shutdown()
 	compare(re, cb, fl.books())
 	return re, nil
 }
--- a/internal/standin/demo/fleet.go
+++ b/internal/standin/demo/fleet.go
@@ -45,6 +45,8 @@
 	abort func()
 	// done is closed when the role has ended.
 	done chan struct{}
+	// leaving tells that the instance was told to stop or was crashed.
+	leaving *atomic.Bool
 }
 
 // host is one agent with its backend server.
@@ -65,8 +67,14 @@
 	store    *link.Listener
 	fabric   *fabric.Fabric
 	services []settings.Service
-	sent     atomic.Int64
+	pool     *link.Pool
 	seed     uint64
+	changes  changeBook
+	// operators are the owners at their consoles.
+	operators []*operator
+	boards    []*gauge.Board
+	// tries counts the operators' changes.
+	tries int
 
 	mu        sync.Mutex
 	balancers []*balancerInstance
@@ -82,6 +90,7 @@
 // startFleet starts every part of the fleet.
 func startFleet(ctx context.Context, group *errgroup.Group, material *keys.Store, seed uint64) (*fleet, error) {
 	fl := &fleet{ctx: ctx, group: group, material: material, platform: platform.New(), seed: seed}
+	fl.pool = link.NewPool(material.PeerClientTLS())
 	if err := fl.startPlatform(); err != nil {
 		return nil, err
 	}
@@ -154,6 +163,26 @@
 	return list
 }
 
+// newBoard returns the metrics of one more instance.
+func (fl *fleet) newBoard() *gauge.Board {
+	bo := gauge.NewBoard()
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.boards = append(fl.boards, bo)
+	return bo
+}
+
+// controlBytes returns the bytes of control traffic that all instances have sent.
+func (fl *fleet) controlBytes() int64 {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var total int64
+	for _, bo := range fl.boards {
+		total += bo.Counter("ControlBytesSent").Count()
+	}
+	return total
+}
+
 // addBalancer starts one more balancer and shows it to the fabric.
 func (fl *fleet) addBalancer() error {
 	fl.mu.Lock()
@@ -167,7 +196,7 @@
 	st.Platform = fl.store.Address()
 	st.Seeds = fl.seeds()
 	st.Services = fl.services
-	ba, err := balancer.Open(fl.ctx, balancer.Config{Balancer: st, Material: fl.material, Board: gauge.NewBoard()})
+	ba, err := balancer.Open(fl.ctx, balancer.Config{Balancer: st, Material: fl.material, Board: fl.newBoard()})
 	if err != nil {
 		return errors.Wrap(err, "start balancer")
 	}
@@ -195,7 +224,7 @@
 	st.Service = sv.ID
 	st.Backend = se.Address()
 	st.Seeds = fl.seeds()
-	ag, err := agent.Open(fl.ctx, agent.Config{Agent: st, Material: fl.material, Board: gauge.NewBoard()})
+	ag, err := agent.Open(fl.ctx, agent.Config{Agent: st, Material: fl.material, Board: fl.newBoard()})
 	if err != nil {
 		return errors.Wrap(err, "start agent")
 	}
@@ -234,7 +263,19 @@
 		defer stop()
 		return role(ctx)
 	})
-	return instance{stop: stop, abort: abort, done: done}
+	leaving := new(atomic.Bool)
+	return instance{
+		stop: func() {
+			leaving.Store(true)
+			stop()
+		},
+		abort: func() {
+			leaving.Store(true)
+			abort()
+		},
+		done:    done,
+		leaving: leaving,
+	}
 }
 
 // replaceBalancer stops a balancer gracefully and starts another in its place.
