--- a/internal/coordination/route/service.go
+++ b/internal/coordination/route/service.go
@@ -116,7 +116,7 @@
 // pairOfFew returns the two cheapest settled hosts. Among hosts of equal weight
 // those are the ones of the highest draws, which saves the logarithms.
 func (sv *service) pairOfFew(bucket uint64) pair {
-	first, second := uint64(noCost), uint64(noCost)
+	first, second := noCost, noCost
 	for slot := range sv.settled {
 		ra := &sv.settled[slot]
 		if ra.inverse == 0 {
