test: only the service tells a reassigned host apart

Cause: with the service check taken out the property test still passed, since the incarnation told the new host apart. Its incarnation has the same tag now. Not caught by this test: incarnation check off and draining check in hold off, which TestDrops and TestDrainingHost cover, and the second choice of a lost host.

--- a/internal/coordination/route/steering_test.go
+++ b/internal/coordination/route/steering_test.go
@@ -97,12 +97,13 @@
 }
 
 // reassign gives the address of a host that has left to another service at once.
+// The new host's incarnation has the same tag, so only the service tells them apart.
 func (pl *plan) reassign() {
 	for i := range pl.names {
 		ag := pl.agents[hostAddress(i)]
 		if ag.dead && pl.mayChange(ag) {
 			ho := ag.record
-			ho.Incarnation, ho.Service, ho.State = ho.Incarnation+1, testService+1, register.StateReady
+			ho.Incarnation, ho.Service, ho.State = ho.Incarnation+1<<16, testService+1, register.StateReady
 			pl.addAgent(ho)
 			pl.announce(ho)
 			return
