feat: the configuration's traffic classes lower requests at the agent

A request whose path belongs to a deferrable class is deferrable, whatever the caller asked for. Limits and weights of classes are accepted and shown but not enforced yet.

--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -87,6 +88,24 @@
 	return false
 }
 
+// Class returns the traffic class of a request path: that of the longest prefix,
+// or else the class without any paths.
+func (sv *Service) Class(path string) (Class, bool) {
+	var found Class
+	known, length := false, -1
+	for _, cl := range sv.Classes {
+		if len(cl.Paths) == 0 && length < 0 {
+			found, known = cl, true
+		}
+		for _, prefix := range cl.Paths {
+			if strings.HasPrefix(path, prefix) && len(prefix) > length {
+				found, known, length = cl, true, len(prefix)
+			}
+		}
+	}
+	return found, known
+}
+
 // HostRule is what the operators ask of the hosts in a range, beyond what the
 // hosts announce about themselves.
 type HostRule struct {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -27,6 +27,7 @@
 	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/desk"
@@ -70,11 +71,13 @@
 	metrics   *link.Listener
 	pool      *link.Pool
 	follower  *follower.Follower
-	fleet     *fleet.Fleet
-	desk      *desk.Desk
-	abortOnce sync.Once
-	aborted   chan struct{}
-	counts    counts
+	// configuration is nil before the first one has come.
+	configuration atomic.Pointer[catalog.Configuration]
+	fleet         *fleet.Fleet
+	desk          *desk.Desk
+	abortOnce     sync.Once
+	aborted       chan struct{}
+	counts        counts
 	// connections is the number of open flows.
 	connections atomic.Int64
 	// table is the view of the service's hosts.
--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -17,7 +17,7 @@
 	ag.follower = follower.New(follower.Config{
 		Self:    rollout.Member{Address: ag.Control(), Domain: ag.cfg.Domain},
 		Pool:    ag.pool,
-		Apply:   func(*catalog.Configuration) { ag.cfg.Board.Count("ConfigurationsApplied", 1) },
+		Apply:   ag.configuration.Store,
 		Publish: follower.PublishTo(ag.fleet.Publish),
 	})
 	ag.follower.Register(mux)
@@ -28,9 +28,20 @@
 
 // Configuration returns what is in force, nil before the first one has come.
 func (ag *Agent) Configuration() *catalog.Configuration {
-	st := ag.follower.State()
-	if st == nil {
-		return nil
+	return ag.configuration.Load()
+}
+
+// deferrable reports whether the configuration makes requests of the path
+// deferrable. A caller can lower its own requests further, never raise them.
+func (ag *Agent) deferrable(path string) bool {
+	cfg := ag.Configuration()
+	if cfg == nil {
+		return false
+	}
+	sv, known := cfg.ServiceByID(ag.service)
+	if !known {
+		return false
 	}
-	return st.Configuration
+	cl, known := sv.Class(path)
+	return known && !cl.Urgent
 }
--- a/internal/transport/agent/handler.go
+++ b/internal/transport/agent/handler.go
@@ -14,13 +14,14 @@
 // openDesk makes the handler of the callers' requests.
 func (ag *Agent) openDesk(mux *link.Mux, record register.Host) {
 	ag.desk = desk.Open(desk.Config{
-		Host:    record,
-		Label:   "Service" + strconv.FormatUint(uint64(ag.service), 10),
-		Slots:   ag.cfg.Slots,
-		Backend: ag.cfg.Backend,
-		Secret:  ag.cfg.Material.Secret(),
-		Pool:    ag.pool,
-		Board:   ag.cfg.Board,
+		Host:       record,
+		Deferrable: ag.deferrable,
+		Label:      "Service" + strconv.FormatUint(uint64(ag.service), 10),
+		Slots:      ag.cfg.Slots,
+		Backend:    ag.cfg.Backend,
+		Secret:     ag.cfg.Material.Secret(),
+		Pool:       ag.pool,
+		Board:      ag.cfg.Board,
 	})
 	ag.desk.Register(mux)
 }
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -63,6 +63,9 @@
 	Secret []byte
 	Pool   *link.Pool
 	Board  *gauge.Board
+	// Deferrable, if set, reports whether the configuration makes requests of
+	// the path deferrable.
+	Deferrable func(path string) bool
 }
 
 // Desk serves the requests of one agent.
--- a/internal/transport/desk/serve.go
+++ b/internal/transport/desk/serve.go
@@ -37,6 +37,9 @@
 		refuse(wr, http.StatusRequestEntityTooLarge, ledger.NotRun, err)
 		return
 	}
+	if de.cfg.Deferrable != nil && de.cfg.Deferrable(re.URL.Path) {
+		at.Class = dispatch.ClassDeferrable
+	}
 	defer func() { de.meters.observe(at.Class, time.Since(start)) }()
 	ta := newTask(de.newRequest(re, body, at, ti))
 	de.serve(wr, re, ta, dispatch.Request{
