--- a/internal/coordination/change/root.go
+++ b/internal/coordination/change/root.go
@@ -60,6 +60,7 @@
 
 // Shard refers to an immutable object.
 type Shard struct {
+	_      struct{} `cbor:",toarray"`
 	Bucket int
 	Name   string
 	// Digest is the SHA-256 digest of the value.
@@ -76,6 +77,7 @@
 
 // Entry is one accepted change.
 type Entry struct {
+	_        struct{} `cbor:",toarray"`
 	Identity Identity
 	Version  catalog.Version
 	// Base is the version that the change was made from.
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -156,6 +156,7 @@
 
 // Report sums up what a part of a failure domain has in force.
 type Report struct {
+	_      struct{} `cbor:",toarray"`
 	Domain string
 	// Newest and Lowest are the extremes among the instances.
 	Newest catalog.Version
@@ -165,8 +166,8 @@
 	Current   int
 	// Laggards are some of the instances that lack Newest, Holders some of
 	// those that have it.
-	Laggards []netip.AddrPort `cbor:",omitempty" json:",omitempty"`
-	Holders  []netip.AddrPort `cbor:",omitempty" json:",omitempty"`
+	Laggards []netip.AddrPort `json:",omitempty"`
+	Holders  []netip.AddrPort `json:",omitempty"`
 }
 
 // Add sums up two reports.
