test: a collection can't delete the shards of a reinstatement

Stepped by hand the collection lists and fences between the shards and the root; without the guard the reinstated root then refers to a shard that is gone.

--- a/internal/coordination/change/change_test.go
+++ b/internal/coordination/change/change_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
 	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
@@ -306,3 +307,60 @@
 		t.Fatalf("%s: %s", ou.Kind, ou.Reason)
 	}
 }
+
+// stepper runs one core call by call, without faults.
+type stepper struct {
+	*world
+	core  core
+	calls []archive.Call
+}
+
+func (wo *world) stepper(co core) *stepper {
+	return &stepper{world: wo, core: co, calls: co.Start(wo.now)}
+}
+
+// until runs the calls before the first of that kind, or all.
+func (st *stepper) until(stop func(archive.Call) bool) {
+	for len(st.calls) > 0 && !stop(st.calls[0]) {
+		st.step()
+	}
+}
+
+func (st *stepper) step() {
+	ca := st.calls[0]
+	an := st.execute(ca)
+	an.ID = ca.ID
+	st.calls = append(st.calls[1:], st.core.Handle(st.now, an)...)
+}
+
+func TestReinstatementOvertakesCollection(t *testing.T) {
+	wo := newWorld(1, monthEnd)
+	ow := newOwner("glenrug")
+	wo.setup(ow)
+	backup := wo.objects.Backup()
+	at := &attempt{number: 1}
+	wo.attempt(at, ow, 0)
+	wo.run()
+	inForce, err := wo.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	wo.objects.Restore(backup)
+
+	reinstatement := wo.stepper(change.NewReinstatement(inForce))
+	reinstatement.until(func(ca archive.Call) bool { return ca.Kind == archive.KindPut && ca.Name == change.RootName })
+	collection := wo.stepper(change.NewCollection())
+	collection.until(func(ca archive.Call) bool { return ca.Kind == archive.KindDelete })
+	if len(collection.calls) == 0 {
+		t.Fatal("the collection listed nothing to delete")
+	}
+	reinstatement.until(func(archive.Call) bool { return false })
+	collection.until(func(archive.Call) bool { return false })
+	after, err := wo.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if after.Root.Version != inForce.Root.Version {
+		t.Fatalf("the store holds %s, not %s", after.Root.Version, inForce.Root.Version)
+	}
+}
