perf: a started server gets all slots once its service times stop falling

Cause: a fleet that starts at once ran at half of its slots for 2 s. With the comparison of service times removed, TestRamp fails.

--- a/internal/coordination/dispatch/limiter.go
+++ b/internal/coordination/dispatch/limiter.go
@@ -26,7 +26,14 @@
 	contentionFactor = 60
 	// trialPause is the time after a trial of a lower limit that did not help.
 	trialPause = 5 * time.Second
-	// rampTime is how long a started backend server runs below its slots.
+	// warmSamples is the number of service times in each of the two groups that
+	// tell whether a cold server still becomes faster.
+	warmSamples = 8
+	// warmFactor is the median of the latter group, in percent of the former's,
+	// from which on a server counts as warm.
+	warmFactor = 70
+	// rampTime is how long a started backend server runs below its slots at the
+	// most.
 	rampTime = 2 * time.Second
 	// firstEstimate is the service time that is assumed before any sample.
 	firstEstimate = 20 * time.Millisecond
@@ -92,6 +99,10 @@
 func (li *Limiter) Observe(now time.Time, took time.Duration) {
 	li.mean += (took - li.mean) / meanWeight
 	li.samples = append(li.samples, took)
+	if now.Before(li.rampEnd) {
+		li.warm(now)
+		return
+	}
 	if len(li.samples) < li.needed() {
 		return
 	}
@@ -101,6 +112,20 @@
 	li.compare(now, median)
 }
 
+// warm ends the ramp early once service times no longer fall.
+func (li *Limiter) warm(now time.Time) {
+	if len(li.samples) < 2*warmSamples {
+		return
+	}
+	former, latter := li.samples[:warmSamples], li.samples[warmSamples:]
+	slices.Sort(former)
+	slices.Sort(latter)
+	if latter[warmSamples/2]*100 >= former[warmSamples/2]*warmFactor {
+		li.rampEnd = now
+	}
+	li.samples = li.samples[:0]
+}
+
 // needed returns the number of samples in the next comparison.
 func (li *Limiter) needed() int {
 	if li.limit < li.slots {
--- a/internal/coordination/dispatch/limiter_test.go
+++ b/internal/coordination/dispatch/limiter_test.go
@@ -54,6 +54,25 @@
 	})
 }
 
+func TestRamp(t *testing.T) {
+	Convey("A server that is warm from the start gets its slots after a few answers", t, func() {
+		li := NewLimiter(start, 2)
+		now, _ := feed(li, start, rampTime/4, func(int) time.Duration { return 10 * time.Millisecond })
+		So(li.Limit(now), ShouldEqual, 2)
+	})
+
+	Convey("A server that still becomes faster stays below its slots", t, func() {
+		li := NewLimiter(start, 2)
+		cold := 120 * time.Millisecond
+		now, _ := feed(li, start, rampTime*45/100, func(int) time.Duration {
+			cold = cold * 9 / 10
+			return cold
+		})
+		So(now.Before(start.Add(rampTime)), ShouldBeTrue)
+		So(li.Limit(now), ShouldEqual, 1)
+	})
+}
+
 func TestBreaker(t *testing.T) {
 	Convey("Given a breaker that opened", t, func() {
 		br := &Breaker{}
