--- a/internal/standin/capacity/capacity.go
+++ b/internal/standin/capacity/capacity.go
@@ -142,7 +142,7 @@
 
 // The effort of one timing.
 const (
-	timings    = 5
+	timings    = 9
 	timingTime = 20 * time.Millisecond
 )
 
--- a/internal/standin/capacity/membership.go
+++ b/internal/standin/capacity/membership.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"syscall"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/standin/fleet"
@@ -95,9 +96,19 @@
 func processorShare(balancers int) float64 {
 	fl := newFleet(balancers)
 	fl.Run(membershipWarmUp)
-	begin := time.Now()
+	begin := processorTime()
 	fl.Run(membershipWindow)
-	return time.Since(begin).Seconds() / membershipWindow.Seconds() / float64(balancers)
+	return (processorTime() - begin).Seconds() / membershipWindow.Seconds() / float64(balancers)
+}
+
+// processorTime returns what the process has used so far, the collector
+// included. Other load on the machine doesn't count.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 func membershipMemory(balancers int) float64 {
