fix: a console's next change never takes the answers of an abandoned one

Open calls are now abandoned with their core. A lost answer to a shard write begins a new attempt instead of a refusal, as nothing refers to the shard. A change that is interrupted tells whether anything was written. Bytes that move requests between hosts are counted apart from control.

--- a/internal/coordination/archive/archive.go
+++ b/internal/coordination/archive/archive.go
@@ -227,6 +227,17 @@
 	return actions
 }
 
+// Abandon gives up all open calls, whose answers nobody waits for any more. A
+// later core numbers its calls from the start again, so none may stay open.
+func (cl *Client) Abandon(now time.Time) {
+	clear(cl.open)
+	cl.open = cl.open[:0]
+	if cl.state == StateProbing {
+		cl.state = StateOpen
+		cl.reopens = now
+	}
+}
+
 func (cl *Client) find(id uint64) *call {
 	for _, ca := range cl.open {
 		if ca.ID == id {
--- a/internal/coordination/change/commit.go
+++ b/internal/coordination/change/commit.go
@@ -148,6 +148,17 @@
 	return co.outcome
 }
 
+// Interrupt ends a change whose caller waits no longer.
+func (co *Commit) Interrupt() {
+	if co.step < stepWriteRoot {
+		co.refuse("interrupted; nothing was changed")
+		return
+	}
+	if co.step != stepDone {
+		co.unknown()
+	}
+}
+
 // settleTime is how long a write without an answer is asked after beyond the
 // deadline of the change.
 const settleTime = 10 * time.Second
--- a/internal/coordination/change/settle.go
+++ b/internal/coordination/change/settle.go
@@ -27,7 +27,11 @@
 // shardWritten waits for every shard. A shard whose answer was lost is refused
 // with the whole change: its name is never used again, so it can do no harm.
 func (co *Commit) shardWritten(an archive.Answer) []archive.Call {
-	if an.Result != archive.ResultDone {
+	switch {
+	case an.Result == archive.ResultUnanswered && co.attempts < MaxAttempts:
+		// Nothing refers to the shard yet, and the next attempt has other names.
+		return co.begin()
+	case an.Result != archive.ResultDone:
 		return co.refuse("the store did not take shard %s; nothing was changed", an.Object.Name)
 	}
 	if co.waiting > 0 {
--- a/internal/protocol/message/message.go
+++ b/internal/protocol/message/message.go
@@ -44,6 +44,12 @@
 	KindItem
 )
 
+// MovesRequests reports whether messages of the kind grow with the requests
+// that move between hosts, not with the fleet.
+func (ki Kind) MovesRequests() bool {
+	return ki == KindRelay || ki == KindProbe || ki == KindHandover
+}
+
 // MaxLength is the largest length of an encoded message in bytes.
 const MaxLength = 4 << 20
 
--- a/internal/standin/demo/operator.go
+++ b/internal/standin/demo/operator.go
@@ -115,19 +115,19 @@
 	fl.tries++
 	at := attempt{class: fmt.Sprintf("probe%d", fl.tries)}
 	fl.mu.Unlock()
+	askedAt := time.Now()
 	statement := fmt.Sprintf("SET CLASS %s OF yardline URGENT PATHS /%s", at.class, at.class)
 	ou, err := op.run(ctx, statement)
 	at.outcome = ou
 	at.accepted = err == nil
 	at.refused = errors.Is(err, console.ErrRefused)
-	acceptedAt := time.Now()
 	if at.accepted {
 		fl.awaitClass(at.class)
 	}
 	fl.changes.mu.Lock()
 	defer fl.changes.mu.Unlock()
 	if at.accepted {
-		fl.changes.inForce = max(fl.changes.inForce, time.Since(acceptedAt))
+		fl.changes.inForce = max(fl.changes.inForce, time.Since(askedAt))
 	}
 	fl.changes.attempts = append(fl.changes.attempts, at)
 	return at
--- a/internal/transport/console/console.go
+++ b/internal/transport/console/console.go
@@ -179,7 +179,7 @@
 	}
 	core := change.New(rq, newRandom())
 	if err := co.drive(ctx, core, core.Deadline); err != nil {
-		return change.Outcome{}, err
+		core.Interrupt()
 	}
 	return core.Outcome(), nil
 }
--- a/internal/transport/link/pool.go
+++ b/internal/transport/link/pool.go
@@ -20,8 +20,8 @@
 type Pool struct {
 	client *http.Client
 	scheme string
-	// Sent is called with the length of each message in bytes, if set.
-	Sent func(bytes int)
+	// Sent is called with the kind and the length in bytes of each message, if set.
+	Sent func(kind message.Kind, bytes int)
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*outgoing
@@ -176,7 +176,7 @@
 		return err
 	}
 	if po.Sent != nil {
-		po.Sent(len(data))
+		po.Sent(msg.Kind, len(data))
 	}
 	if err := ou.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		po.drop(ou)
--- a/internal/transport/store/perform.go
+++ b/internal/transport/store/perform.go
@@ -78,6 +78,7 @@
 func (cl *Client) Drive(ctx context.Context, calls *archive.Client, co Core, deadline func() time.Time) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer func() { calls.Abandon(time.Now()) }()
 	answers := make(chan archive.Answer)
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
