test: the demo's owners race without waiting for acknowledgements

Cause: the console waits until every instance has acknowledged a change, about 6 s, so that a plan of 10 s came only to its second race.

--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -138,7 +138,7 @@
 	var eg errgroup.Group
 	eg.Go(func() error { return tr.drive(driving, pl.streams(fl)) })
 	eg.Go(func() error {
-		return pl.follow(driving, fl, start, op.Duration, op.Seed, func(name string) {
+		return pl.follow(ctx, fl, start, op.Duration, op.Seed, func(name string) {
 			fmt.Fprintf(out, "%5.1f s: %s\n", time.Since(start).Seconds(), name)
 		})
 	})
