--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -26,6 +26,19 @@
 	})
 }
 
+// members returns the balancers that the fleet's view knows, or those of the
+// settings as long as it knows none.
+func (ag *Agent) members() []rollout.Member {
+	members := follower.MembersOf(ag.fleet.Balancers())
+	if len(members) > 0 {
+		return members
+	}
+	for _, seed := range ag.cfg.Seeds {
+		members = append(members, rollout.Member{Address: seed})
+	}
+	return members
+}
+
 // apply puts the part of an accepted configuration in force that concerns this
 // host's service.
 func (ag *Agent) apply(co *catalog.Configuration) {
--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -12,7 +12,6 @@
 	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/envelope"
 	"corneltiller.dev/corneltiller/internal/protocol/label"
-	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/socket"
 )
 
@@ -78,7 +77,7 @@
 func (ag *Agent) changed() {
 	ag.viewMu.Lock()
 	defer ag.viewMu.Unlock()
-	ag.follower.SetMembers(follower.MembersOf(ag.fleet.Balancers()))
+	ag.follower.SetMembers(ag.members())
 	now := time.Now()
 	ta := ag.table.Load()
 	hosts := ag.fleet.Project()
