--- a/internal/coordination/change/commit.go
+++ b/internal/coordination/change/commit.go
@@ -1,10 +1,8 @@
 package change
 
 import (
-	"crypto/ed25519"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -309,160 +307,8 @@
 	return co.evaluate(an.Object.Asked)
 }
 
-// evaluate makes the change from the root that was read.
-func (co *Commit) evaluate(asked time.Time) []archive.Call {
-	if asked.IsZero() {
-		asked = co.now
-	}
-	before := &catalog.Configuration{NextService: 1}
-	if co.snapshot.Root != nil {
-		decoded, err := co.snapshot.Configuration()
-		if err != nil {
-			return co.refuse("%v", err)
-		}
-		before = decoded
-	}
-	after, err := co.edited(before, asked)
-	if err != nil {
-		return co.refuse("%v", err)
-	}
-	co.outcome.Difference = catalog.Difference(before, after)
-	if err := co.prepare(before, after, asked); err != nil {
-		return co.refuse("%v", err)
-	}
-	if co.request.DryRun {
-		co.outcome.Version = after.Version
-		return co.finish(OutcomeAccepted, "dry run: nothing was written")
-	}
-	return co.writeShards()
-}
-
 // ErrNoSay says that the owner may not change the configuration now.
 var ErrNoSay = errors.New("no authority to change the configuration")
 
-// edited returns the configuration after the edits, checked.
-func (co *Commit) edited(before *catalog.Configuration, asked time.Time) (*catalog.Configuration, error) {
-	after := before.Clone()
-	after.Version.Number++
-	if err := co.authorize(before, after, asked); err != nil {
-		return nil, err
-	}
-	for _, ed := range co.request.Edits {
-		if err := ed.Apply(after); err != nil {
-			return nil, errors.Wrap(err, ed.Summary)
-		}
-	}
-	if after.Say.Owner != before.Say.Owner || co.request.Initial {
-		after.Version.Term = before.Version.Term + 1
-		after.Say.Term = after.Version.Term
-		after.Say.Until = after.NextTurn(asked).UTC()
-	}
-	after.Release(co.request.Everywhere)
-	after.Retire(before)
-	after.Release(catalog.Version{})
-	if err := after.CheckMoves(before); err != nil {
-		return nil, err
-	}
-	if err := after.Check(); err != nil {
-		return nil, err
-	}
-	return after, catalog.CheckHosts(before, after, co.request.Hosts)
-}
-
-// authorize lets the holder and, once the holder's turn has ended, the owner
-// whom the calendar names make changes.
-func (co *Commit) authorize(before, after *catalog.Configuration, asked time.Time) error {
-	if co.request.Initial {
-		after.Say.Owner = co.request.Owner
-		return nil
-	}
-	switch before.AuthorityOf(co.request.Owner, asked) {
-	case catalog.AuthorityHolder:
-		if !asked.Before(before.Say.Until) {
-			after.Say.Until = before.NextTurn(asked).UTC()
-		}
-		return nil
-	case catalog.AuthoritySuccessor:
-		after.Say.Owner = co.request.Owner
-		return nil
-	default:
-		return errors.Wrapf(ErrNoSay, "%s holds the say until %s", before.Say.Owner, before.Say.Until.Format(time.RFC3339))
-	}
-}
-
-// prepare builds and signs the new root.
-func (co *Commit) prepare(before, after *catalog.Configuration, asked time.Time) error {
-	co.identity = co.newIdentity(before.Version)
-	content, values, err := build(co.before, after, co.identity)
-	if err != nil {
-		return err
-	}
-	ro := co.before.clone()
-	ro.Content = content
-	en := Entry{
-		Identity: co.identity,
-		Version:  after.Version,
-		Base:     before.Version,
-		Owner:    co.request.Owner,
-		At:       asked.UTC(),
-		Summary:  summarize(co.request.Edits),
-		Say:      after.Say,
-		Content:  content.Digest(),
-	}
-	if last, ok := co.before.Last(); ok {
-		en.Previous = last.Digest()
-	}
-	if !sameOwners(before.Owners, after.Owners) {
-		en.Owners = after.Owners
-	}
-	en.Signature = co.request.Sign(en.Message())
-	signers := before.Owners
-	if co.request.Initial {
-		signers = after.Owners
-	}
-	if err := verifyEntry(en, signers); err != nil {
-		return err
-	}
-	values = append(values, ro.extend(en)...)
-	co.after, co.values = ro, values
-	return nil
-}
-
-func (co *Commit) newIdentity(base catalog.Version) Identity {
-	return Identity(fmt.Sprintf("%s-%016x", base, co.random.Uint64()))
-}
-
-func sameOwners(before, after []catalog.Owner) bool {
-	if len(before) != len(after) {
-		return false
-	}
-	for i := range before {
-		if !before[i].Equal(after[i]) {
-			return false
-		}
-	}
-	return true
-}
-
 // maxSummaryBytes bounds what the history keeps of the operator's words.
 const maxSummaryBytes = 200
-
-func summarize(edits []Edit) string {
-	text := ""
-	for i, ed := range edits {
-		if i > 0 {
-			text += "; "
-		}
-		text += ed.Summary
-	}
-	if len(text) > maxSummaryBytes {
-		text = text[:maxSummaryBytes-3] + "..."
-	}
-	return strings.ToValidUTF8(text, "?")
-}
-
-// PublicKey returns the public half of an owner's private key.
-func PublicKey(key ed25519.PrivateKey) []byte {
-	public, _ := key.Public().(ed25519.PublicKey)
-	return public
-}
--- a/internal/protocol/message/message.go
+++ b/internal/protocol/message/message.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	msg, err := message.New(message.KindAnnounce, record)
+//	msg, err := message.New(message.KindMembership, body)
 //	err = msg.Decode(&record)
 package message
 
@@ -20,12 +20,8 @@
 const (
 	// KindFailure answers a request that the peer refused; the body is a Failure.
 	KindFailure Kind = iota + 1
-	// KindAnnounce carries a host record from its agent.
-	KindAnnounce
 	// KindMembership carries heartbeats, suspicions and gossip.
 	KindMembership
-	// KindTransfer carries a view from a donor.
-	KindTransfer
 	// KindRelay carries a request from one agent to another.
 	KindRelay
 	// KindProbe asks an agent for its load.
@@ -34,8 +30,6 @@
 	KindHandover
 	// KindQuery carries an operator's question to a balancer or agent.
 	KindQuery
-	// KindBalancers asks for the balancers that a peer knows.
-	KindBalancers
 	// KindConfiguration asks a peer for a newer configuration.
 	KindConfiguration
 	// KindReport carries which versions a part of the fleet has in force.
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -7,13 +7,13 @@
 // # Usage
 //
 //	mux := link.NewMux()
-//	link.On(mux, message.KindAnnounce, func(ctx context.Context, pe link.Peer, ho register.Host) (any, error) {
-//		return nil, view.Put(ho)
+//	link.On(mux, message.KindProbe, func(ctx context.Context, pe link.Peer, no relay.Notice) (any, error) {
+//		return nil, desk.take(no)
 //	})
 //	srv := &link.Server{Mux: mux}
 //
 //	pool := link.NewPool(tlsConfig)
-//	err := pool.Send(ctx, peer, message.KindAnnounce, record)
+//	err := pool.Send(ctx, peer, message.KindProbe, notice)
 //	err = pool.Call(ctx, peer, message.KindProbe, question, &answer)
 package link
 
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -111,7 +111,7 @@
 			convey.So(en.refusals(), convey.ShouldEqual, 1)
 		})
 		convey.Convey("refuses a kind without a handler", func() {
-			err := en.pool.Call(ctx, peer, message.KindTransfer, "text", nil)
+			err := en.pool.Call(ctx, peer, message.KindReport, "text", nil)
 			convey.So(err.Error(), convey.ShouldContainSubstring, "unknown kind")
 		})
 		convey.Convey("is opened again after it broke", func() {
