fix: a request that never left the caller is told as not run

A handshake now waits 1 s for a silent host, the next attempt has another source port and so another host, and a request without a flow ends with ErrNotRun (exit code 1 of call). The demo logs what instances did with datagrams.

--- a/cmd/call.go
+++ b/cmd/call.go
@@ -77,6 +77,9 @@
 		re.Header.Set(name, value)
 	}
 	answer, err := ca.Do(re)
+	if errors.Is(err, caller.ErrNotRun) {
+		return err
+	}
 	if err != nil {
 		return &exitError{code: ExitUnknown, err: err}
 	}
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -153,6 +153,7 @@
 	elapsed := time.Since(start).Seconds()
 	re.ControlBytesPerNodeSecond = float64(fl.controlBytes()-sentBefore) / nodeCount / elapsed
 	fl.checkChanges(re)
+	fl.logDatagrams()
 	fl.shutdown()
 	compare(re, cb, fl.books())
 	return re, nil
--- a/internal/standin/demo/fleet.go
+++ b/internal/standin/demo/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/standin/backend"
 	"corneltiller.dev/corneltiller/internal/standin/fabric"
@@ -45,6 +46,8 @@
 	abort func()
 	// done is closed when the role has ended.
 	done chan struct{}
+	// board holds the role's metrics.
+	board *gauge.Board
 	// leaving tells that the instance was told to stop or was crashed.
 	leaving *atomic.Bool
 }
@@ -183,6 +186,18 @@
 	return total
 }
 
+// logDatagrams logs what the instances did with datagrams.
+func (fl *fleet) logDatagrams() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, ba := range fl.balancers {
+		klog.V(1).InfoS("Balancer's datagrams", "Hosts", ba.balancer.Hosts(), "Counts", ba.board.Counts("Datagrams"))
+	}
+	for _, ho := range fl.hosts {
+		klog.V(1).InfoS("Agent's datagrams", "Host", ho.agent.Datagrams(), "Service", ho.service.Name, "Counts", ho.board.Counts("Datagrams"))
+	}
+}
+
 // addBalancer starts one more balancer and shows it to the fabric.
 func (fl *fleet) addBalancer() error {
 	fl.mu.Lock()
@@ -196,12 +211,13 @@
 	st.Platform = fl.store.Address()
 	st.Seeds = fl.seeds()
 	st.Services = fl.services
-	ba, err := balancer.Open(fl.ctx, balancer.Config{Balancer: st, Material: fl.material, Board: fl.newBoard()})
+	board := fl.newBoard()
+	ba, err := balancer.Open(fl.ctx, balancer.Config{Balancer: st, Material: fl.material, Board: board})
 	if err != nil {
 		return errors.Wrap(err, "start balancer")
 	}
 	bi := &balancerInstance{balancer: ba}
-	bi.instance = fl.run(ba.Run, ba.Abort)
+	bi.instance = fl.run(ba.Run, ba.Abort, board)
 	fl.mu.Lock()
 	fl.balancers = append(fl.balancers, bi)
 	fl.mu.Unlock()
@@ -224,7 +240,8 @@
 	st.Service = sv.ID
 	st.Backend = se.Address()
 	st.Seeds = fl.seeds()
-	ag, err := agent.Open(fl.ctx, agent.Config{Agent: st, Material: fl.material, Board: fl.newBoard()})
+	board := fl.newBoard()
+	ag, err := agent.Open(fl.ctx, agent.Config{Agent: st, Material: fl.material, Board: board})
 	if err != nil {
 		return errors.Wrap(err, "start agent")
 	}
@@ -233,7 +250,7 @@
 	if late {
 		ho.book.joinedAt = time.Now()
 	}
-	ho.instance = fl.run(ag.Run, ag.Abort)
+	ho.instance = fl.run(ag.Run, ag.Abort, board)
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.hosts = append(fl.hosts, ho)
@@ -255,7 +272,7 @@
 }
 
 // run starts a role and returns how to end it.
-func (fl *fleet) run(role func(context.Context) error, abort func()) instance {
+func (fl *fleet) run(role func(context.Context) error, abort func(), board *gauge.Board) instance {
 	ctx, stop := context.WithCancel(fl.ctx)
 	done := make(chan struct{})
 	fl.group.Go(func() error {
@@ -274,6 +291,7 @@
 			abort()
 		},
 		done:    done,
+		board:   board,
 		leaving: leaving,
 	}
 }
--- a/internal/standin/demo/traffic.go
+++ b/internal/standin/demo/traffic.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"corneltiller.dev/corneltiller/internal/protocol/outcome"
@@ -152,6 +153,9 @@
 	answer, err := dr.caller.Do(newRequest(ctx, en, body))
 	if err != nil {
 		en.failure = err.Error()
+		if errors.Is(err, caller.ErrNotRun) {
+			en.outcome = OutcomeNotRun
+		}
 		return
 	}
 	defer answer.Body.Close()
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -13,7 +13,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,8 +27,15 @@
 	initialPacketSize = 1200 // bytes; leaves room for the envelope
 	keepAlive         = 10 * time.Second
 	idleTimeout       = 60 * time.Second
+	// handshakeTimeout is how long a host may stay silent in a handshake. The
+	// next attempt has another source port and so leads to another host.
+	handshakeTimeout = time.Second
 )
 
+// ErrNotRun is the error of a request that never left the caller, because no
+// flow could be opened.
+var ErrNotRun = errors.New("not run: no flow could be opened")
+
 // Config is what a caller needs.
 type Config struct {
 	// Service is the service's address.
@@ -52,9 +61,10 @@
 	ca.transport = &http3.Transport{
 		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: cfg.Authority, ServerName: cfg.Name},
 		QUICConfig: &quic.Config{
-			InitialPacketSize: initialPacketSize,
-			KeepAlivePeriod:   keepAlive,
-			MaxIdleTimeout:    idleTimeout,
+			InitialPacketSize:    initialPacketSize,
+			HandshakeIdleTimeout: handshakeTimeout,
+			KeepAlivePeriod:      keepAlive,
+			MaxIdleTimeout:       idleTimeout,
 		},
 		Dial: ca.dial,
 	}
@@ -93,11 +103,18 @@
 }
 
 // Do sends a request, whose URL needs only a path, and returns the answer. It
-// gets and repeats the tickets of unrepeatable requests by itself.
+// gets and repeats the tickets of unrepeatable requests by itself. After
+// ErrNotRun the request has not run; after any other error it may have.
 func (ca *Caller) Do(re *http.Request) (*http.Response, error) {
 	re.URL.Scheme = "https"
 	re.URL.Host = ca.cfg.Service.String()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	re = re.WithContext(httptrace.WithClientTrace(re.Context(), trace))
 	answer, err := ca.tickets.RoundTrip(re)
+	if err != nil && !sent.Load() {
+		return nil, errors.Wrapf(ErrNotRun, "call %s: %v", ca.cfg.Service, err)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(err, "call %s", ca.cfg.Service)
 	}
--- a/internal/transport/gauge/gauge.go
+++ b/internal/transport/gauge/gauge.go
@@ -43,6 +43,19 @@
 	return &Board{registry: metrics.NewRegistry()}
 }
 
+// Counts returns the counters that aren't zero and whose names begin with the
+// prefix, as name=count in order of the names.
+func (bo *Board) Counts(prefix string) []string {
+	var list []string
+	bo.registry.Each(func(name string, metric any) {
+		if co, ok := metric.(metrics.Counter); ok && strings.HasPrefix(name, prefix) && co.Count() != 0 {
+			list = append(list, fmt.Sprintf("%s=%d", name, co.Count()))
+		}
+	})
+	slices.Sort(list)
+	return list
+}
+
 // SetReady sets whether the process takes new work.
 func (bo *Board) SetReady(ready bool) {
 	bo.ready.Store(ready)
