fix: sockets never share a port with another pool or process

Ruled out: load (reproduced alone) and steering (no drop was counted). Every address is now bound alone first.

--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -42,8 +42,13 @@
 	input   [MaxDatagram + 1]byte
 }
 
-// Listen opens the sockets. Port 0 takes a free port for all of them.
+// Listen opens the sockets. Port 0 takes a free port for all of them. An address
+// that another process or socket has is refused.
 func Listen(ctx context.Context, address netip.AddrPort, workers int) (*Socket, error) {
+	address, err := reserve(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	so := &Socket{}
 	lc := net.ListenConfig{Control: reusePort}
 	for range max(workers, 1) {
@@ -57,11 +62,23 @@
 		_ = conn.SetReadBuffer(bufferSize)
 		_ = conn.SetWriteBuffer(bufferSize)
 		so.workers = append(so.workers, &Worker{conn: conn})
-		address = unmap(conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	}
 	return so, nil
 }
 
+// reserve returns the address with a port that nobody has. Sockets that share
+// their port would take that of other such sockets without an error, so the
+// address is first bound alone.
+func reserve(ctx context.Context, address netip.AddrPort) (netip.AddrPort, error) {
+	var lc net.ListenConfig
+	pc, err := lc.ListenPacket(ctx, "udp", address.String())
+	if err != nil {
+		return address, errors.Wrapf(err, "listen on %s", address)
+	}
+	defer pc.Close()
+	return unmap(pc.LocalAddr().(*net.UDPAddr).AddrPort()), nil
+}
+
 func reusePort(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(fd uintptr) {
