fix: a closed listener closes its links; the console explains flows

Ruled out: the reader's pace (questions were answered) and lost gossip. Proof: link_test.go calls a closed listener and was answered before. EXPLAIN FLOW tells how a balancer steers a new flow, SHOW SUSPICIONS what it suspects as a watcher.

--- a/internal/protocol/command/command.go
+++ b/internal/protocol/command/command.go
@@ -62,6 +62,7 @@
 	Services  bool       `parser:"| @'SERVICES'"`
 	Balancers bool       `parser:"| @'BALANCERS'"`
 	Flows     bool       `parser:"| @'FLOWS'"`
+	Suspects  bool       `parser:"| @'SUSPICIONS'"`
 	Owners    bool       `parser:"| @'OWNERS'"`
 	Calendar  bool       `parser:"| @'CALENDAR'"`
 	Rules     bool       `parser:"| @'RULES'"`
@@ -89,9 +90,16 @@
 	Address AddressList `parser:"  'ADDRESS' @Word"`
 	Host    HostList    `parser:"| 'HOST' @Word"`
 	Service string      `parser:"| 'SERVICE' @Word"`
+	Flow    *FlowPath   `parser:"| 'FLOW' @@"`
 	Change  *Change     `parser:"| @@"`
 }
 
+// FlowPath names a new flow by its two ends, of which each list holds one.
+type FlowPath struct {
+	Caller  AddressList `parser:"'FROM' @Word"`
+	Service AddressList `parser:"'TO' @Word"`
+}
+
 // Change is one step that alters the configuration.
 type Change struct {
 	Tokens []lexer.Token
--- a/internal/transport/balancer/configuration.go
+++ b/internal/transport/balancer/configuration.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"time"
 
 	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/command"
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -78,6 +82,22 @@
 	})
 }
 
+// explain returns the steps in which this balancer would steer a new flow.
+func (ba *Balancer) explain(qu command.FlowQuery) []string {
+	ex := route.Explain(ba.table.Load(), qu.Service, qu.Caller)
+	return strings.Split(strings.TrimSpace(ex.String()), "\n")
+}
+
+// suspects returns what this balancer suspects as a watcher.
+func (ba *Balancer) suspects() []string {
+	var lines []string
+	for _, su := range ba.directory.fleet.Suspects() {
+		lines = append(lines, fmt.Sprintf("%s %s since %s, last heard %s, suspected by %d of %d watchers",
+			su.Subject.Role, su.Subject.Address, su.Since.UTC().Format(time.RFC3339), su.Heard.UTC().Format(time.RFC3339), len(su.Votes), len(su.Watchers)))
+	}
+	return lines
+}
+
 // status returns what this balancer knows of the fleet.
 func (ba *Balancer) status(qu command.Query) command.Status {
 	hosts := ba.directory.fleet.Hosts()
@@ -89,6 +109,12 @@
 		DatagramsForwarded: ba.counts.forwarded.Count(),
 		DatagramsAnswered:  ba.counts.answered.Count(),
 	}
+	if qu.Flow != nil {
+		st.Path = ba.explain(*qu.Flow)
+	}
+	if qu.Suspects {
+		st.Suspects = ba.suspects()
+	}
 	if !qu.Records {
 		return st
 	}
--- a/internal/transport/console/explain.go
+++ b/internal/transport/console/explain.go
@@ -26,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if ex.Flow != nil {
+		return co.explainFlow(ctx, decoded, ex.Flow)
+	}
 	st, _ := co.Fleet.Ask(ctx, command.Query{Records: true})
 	switch {
 	case len(ex.Address) > 0:
@@ -41,6 +44,19 @@
 	}
 }
 
+// explainFlow prints how a balancer would steer a new flow.
+func (co *Console) explainFlow(ctx context.Context, decoded *catalog.Configuration, fp *command.FlowPath) error {
+	sv, ok := decoded.ServiceAt(fp.Service[0])
+	if !ok {
+		return errors.Wrapf(catalog.ErrUnknown, "service address %s", fp.Service[0])
+	}
+	st, err := co.Fleet.Ask(ctx, command.Query{Flow: &command.FlowQuery{Service: sv.ID, Caller: fp.Caller[0]}})
+	if err != nil {
+		return err
+	}
+	return co.print(&Lines{Lines: st.Path})
+}
+
 func explainAddress(decoded *catalog.Configuration, st command.Status, address netip.AddrPort) *Lines {
 	if sv, ok := decoded.ServiceAt(address); ok {
 		lines := []string{fmt.Sprintf("%s belongs to service %s of %s", address, sv.Name, sv.Firm)}
--- a/internal/transport/console/show.go
+++ b/internal/transport/console/show.go
@@ -28,6 +28,8 @@
 		return co.showBalancers(ctx)
 	case sh.Flows:
 		return co.showFlows(ctx)
+	case sh.Suspects:
+		return co.showSuspects(ctx)
 	case sh.Change != "":
 		return co.inquire(ctx, change.Identity(sh.Change), false)
 	case sh.Diff:
@@ -55,6 +57,18 @@
 	}
 }
 
+// showSuspects prints what the balancer that answers suspects as a watcher.
+func (co *Console) showSuspects(ctx context.Context) error {
+	st, err := co.Fleet.Ask(ctx, command.Query{Suspects: true})
+	if err != nil {
+		return err
+	}
+	if len(st.Suspects) == 0 {
+		return co.print(newMessage("the balancer suspects nobody"))
+	}
+	return co.print(&Lines{Lines: st.Suspects})
+}
+
 func newSay(decoded *catalog.Configuration, asked time.Time) *Say {
 	sa := &Say{Say: decoded.Say, Version: decoded.Version.String(), Lapsed: !asked.Before(decoded.Say.Until)}
 	at := decoded.Say.Until
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -129,6 +129,11 @@
 			defer naked.Close()
 			convey.So(naked.Call(ctx, peer, message.KindProbe, "a", nil), convey.ShouldNotBeNil)
 		})
+		convey.Convey("is closed when its listener closes", func() {
+			convey.So(en.pool.Call(ctx, peer, message.KindProbe, "a", nil), convey.ShouldBeNil)
+			en.listener.Close()
+			convey.So(en.pool.Call(ctx, peer, message.KindProbe, "b", nil), convey.ShouldNotBeNil)
+		})
 		convey.Convey("counts garbage and closes", func() {
 			co, _, err := websocket.Dial(ctx, "wss://"+peer.String()+Path, &websocket.DialOptions{HTTPClient: en.pool.client})
 			convey.So(err, convey.ShouldBeNil)
--- a/internal/transport/link/listen.go
+++ b/internal/transport/link/listen.go
@@ -20,6 +20,8 @@
 type Listener struct {
 	listener net.Listener
 	server   *http.Server
+	// closeLinks ends the open links, which the server knows nothing of.
+	closeLinks context.CancelFunc
 }
 
 // Listen opens the address. The handler is served with TLS unless the
@@ -33,9 +35,16 @@
 	if tc != nil {
 		li = tls.NewListener(li, tc)
 	}
+	base, closeLinks := context.WithCancel(context.WithoutCancel(ctx))
 	return &Listener{
 		listener: li,
-		server:   &http.Server{Handler: ha, ReadHeaderTimeout: headerTimeout, ErrorLog: discard},
+		server: &http.Server{
+			Handler:           ha,
+			ReadHeaderTimeout: headerTimeout,
+			ErrorLog:          discard,
+			BaseContext:       func(net.Listener) context.Context { return base },
+		},
+		closeLinks: closeLinks,
 	}, nil
 }
 
@@ -54,8 +63,10 @@
 	return nil
 }
 
-// Close stops the listener, giving open requests a moment to end.
+// Close stops the listener, gives open requests a moment to end and closes the
+// open links.
 func (li *Listener) Close() {
+	defer li.closeLinks()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := li.server.Shutdown(ctx); err != nil {
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -113,6 +113,20 @@
 	})
 }
 
+func TestOperatorsAskWhyAFlowGoesWhere(t *testing.T) {
+	fl := startFleet(t)
+	first, _ := fl.configure()
+	convey.Convey("The console explains a flow and tells suspicions", t, func() {
+		output, code := first.ctl("EXPLAIN FLOW FROM 198.51.100.7:4000 TO " + fl.Fabric.Services[0].String())
+		convey.So(code, convey.ShouldEqual, cmd.ExitOK)
+		convey.So(output, convey.ShouldContainSubstring, "Role=Owner")
+		convey.So(output, convey.ShouldContainSubstring, fl.Fabric.Answers.Addr().String())
+		output, code = first.ctl("SHOW SUSPICIONS")
+		convey.So(code, convey.ShouldEqual, cmd.ExitOK)
+		convey.So(output, convey.ShouldContainSubstring, "suspects nobody")
+	})
+}
+
 func TestServiceGoesOnWhileThePlatformIsFrozen(t *testing.T) {
 	fl := startFleet(t)
 	first, _ := fl.configure()
