--- a/internal/transport/agent/configuration.go
+++ b/internal/transport/agent/configuration.go
@@ -26,8 +26,9 @@
 	})
 }
 
-// members returns the balancers that the fleet's view knows, or those of the
-// settings as long as it knows none.
+// members returns the balancers that the fleet's view knows. As long as it knows
+// none, it returns those of the settings, all of which may have been replaced,
+// and the other agents of the service, which give what they have.
 func (ag *Agent) members() []rollout.Member {
 	members := follower.MembersOf(ag.fleet.Balancers())
 	if len(members) > 0 {
@@ -36,6 +37,11 @@
 	for _, seed := range ag.cfg.Seeds {
 		members = append(members, rollout.Member{Address: seed})
 	}
+	for _, ho := range ag.fleet.Hosts() {
+		if ho.Control != ag.Control() {
+			members = append(members, rollout.Member{Address: ho.Control, Domain: ho.Domain})
+		}
+	}
 	return members
 }
 
