fix: an agent subscribes at once to the interests that it widens

Cause: an agent widens its share of balancers every 0.5 s until it knows some, but renewed its subscription only every 2 s and so knew no balancer for 10 s or more.

--- a/internal/coordination/delivery/gossip.go
+++ b/internal/coordination/delivery/gossip.go
@@ -92,9 +92,11 @@
 	gs.neighbours.setPeers(peers)
 }
 
-// SetInterests replaces what a subscriber wants.
+// SetInterests replaces what a subscriber wants and lets the subscription be
+// renewed at the next tick.
 func (gs *Gossip) SetInterests(interests []Interest) {
 	gs.settings.Interests = interests
+	gs.nextSubscribe = time.Time{}
 }
 
 // Publish joins an item of this node's own into the table and spreads it. It
