--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -83,7 +83,7 @@
 	// table is the view of the service's hosts.
 	table atomic.Pointer[route.Table]
 
-	// Lock order: viewMu before flowsMu.
+	// Lock order: viewMu before those of the fleet and the desk, these before flowsMu.
 	viewMu sync.Mutex
 	// incarnation is the one that the host's record has.
 	incarnation uint64
