refactor: the steering table decides by itself whether it has to advance

Cause: balancers and agents each held the same check of announced hosts and the table's deadline before Next. Behaviour stays as it is; no test was changed.

--- a/internal/coordination/route/table.go
+++ b/internal/coordination/route/table.go
@@ -56,6 +56,16 @@
 	return ta.edit(now).finish(announced)
 }
 
+// Advance is like Next, but returns the table itself if no host is announced
+// and its deadline has not passed.
+func (ta *Table) Advance(now time.Time, announced []register.Host) *Table {
+	due := !ta.deadline.IsZero() && !now.Before(ta.deadline)
+	if len(announced) == 0 && !due {
+		return ta
+	}
+	return ta.Next(now, announced)
+}
+
 // Deadline returns when Next is due even if no host is announced. It is zero if
 // nothing is due.
 func (ta *Table) Deadline() time.Time {
--- a/internal/transport/agent/datagram.go
+++ b/internal/transport/agent/datagram.go
@@ -78,13 +78,8 @@
 	ag.viewMu.Lock()
 	defer ag.viewMu.Unlock()
 	ag.follower.SetMembers(ag.members())
-	now := time.Now()
-	ta := ag.table.Load()
 	hosts := ag.fleet.Project()
-	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
-	if len(hosts) > 0 || due {
-		ag.table.Store(ta.Next(now, hosts))
-	}
+	ag.table.Store(ag.table.Load().Advance(time.Now(), hosts))
 	record := ag.fleet.Record()
 	if record.Incarnation != ag.incarnation {
 		ag.adopt(record)
--- a/internal/transport/balancer/directory.go
+++ b/internal/transport/balancer/directory.go
@@ -115,17 +115,12 @@
 
 // advance puts the table after the changed records in force. The caller holds mu.
 func (di *directory) advance(changed []register.Host) {
-	ba, now := di.balancer, time.Now()
-	ta := ba.table.Load()
-	due := !ta.Deadline().IsZero() && !now.Before(ta.Deadline())
-	if len(changed) == 0 && !due {
-		return
-	}
 	effective := make([]register.Host, 0, len(changed))
 	for _, ho := range changed {
 		effective = append(effective, di.effective(ho))
 	}
-	ba.table.Store(ta.Next(now, effective))
+	table := &di.balancer.table
+	table.Store(table.Load().Advance(time.Now(), effective))
 }
 
 // effective returns the record as the configuration lets it count. Its sequence
