feat: flows that are carried to the platform's hosts through an adapter

Cause: the users' platform hands over packets whose content only callers and hosts may read or write, and keeps no list of machines.

--- a/cmd/log.go
+++ b/cmd/log.go
@@ -15,5 +15,9 @@
 	if err := fs.Set("v", strconv.Itoa(level)); err != nil {
 		return errors.Wrap(err, "set log level")
 	}
+	// Otherwise an error is written once for each lower severity too.
+	if err := fs.Set("one_output", "true"); err != nil {
+		return errors.Wrap(err, "set log output")
+	}
 	return nil
 }
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -98,6 +98,7 @@
 		capacityCommand(),
 		ctlCommand(),
 		demoCommand(),
+		platformCommand(),
 		standinCommand(),
 		versionCommand(),
 	}
--- /dev/null
+++ b/internal/coordination/carriage/action.go
@@ -0,0 +1,67 @@
+package carriage
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind is what an action asks the shell to do.
+type Kind uint8
+
+// The kinds of actions.
+const (
+	// KindCarry sends the datagram with its Urgency to the agent To.
+	KindCarry Kind = iota + 1
+	// KindReset tells the caller that its opening packet was refused.
+	KindReset
+	// KindDrop only notes that the packet goes nowhere.
+	KindDrop
+	// KindFind asks the agent To whether its host holds the flow.
+	KindFind
+	// KindPing asks the agent To for a report.
+	KindPing
+	// KindSuspect notes that the agent To is silent.
+	KindSuspect
+	// KindTrust notes that the silent agent To has answered.
+	KindTrust
+	// KindDeliver hands the datagram to the host.
+	KindDeliver
+	// KindReturn sends the datagram to the caller.
+	KindReturn
+	// KindConfirm tells the balancer To that the host accepted the flow.
+	KindConfirm
+	// KindDecline hands the datagram back to the balancer To.
+	KindDecline
+	// KindHeld tells the balancer To that the host holds the flow, or, unless
+	// Sure, that it may.
+	KindHeld
+	// KindAnnounce asks for the agent's report to be spread at once.
+	KindAnnounce
+)
+
+// Action is one thing that a decision core wants done.
+type Action struct {
+	Kind Kind
+	// To is the process that the action concerns.
+	To   netip.AddrPort
+	Flow Flow
+	// Data is the packet; it is valid until the next call of the core.
+	Data []byte
+	// Urgency and Tag go with KindCarry.
+	Urgency Urgency
+	// Tag is the number of the service that the opening is for.
+	Tag uint32
+	// Acknowledged goes with KindFind.
+	Acknowledged uint32
+	// Sure goes with KindHeld.
+	Sure   bool
+	Reason Reason
+	// Opening says that the packet opens the flow.
+	Opening bool
+	// Attempt numbers the hosts that an opening was sent to from one.
+	Attempt int
+	// InProgress is the load on which the choice of a host was based.
+	InProgress float64
+	// Reported is when that load was reported, zero if it never was.
+	Reported time.Time
+}
--- /dev/null
+++ b/internal/coordination/carriage/placer.go
@@ -0,0 +1,382 @@
+package carriage
+
+import (
+	"container/heap"
+	"net/netip"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+const (
+	// ConfirmTimeout is how long a balancer waits for the confirmation of an
+	// opening: several round trips between failure domains.
+	ConfirmTimeout = 25 * time.Millisecond
+	// FlowIdle is how long a balancer remembers where an idle flow is. Forgetting
+	// costs a search only.
+	FlowIdle = 60 * time.Second
+	// maxFlows bounds the flows that a balancer remembers.
+	maxFlows = 1 << 17
+	// maxAttempts bounds the hosts that one opening packet is sent to.
+	maxAttempts = 6
+	// maxOffers is the number of hosts that may decline an opening as busy
+	// before the next one is asked to take it.
+	maxOffers = 3
+	// freshCopy is the age from which an opening packet of a known flow is taken
+	// for a new flow of the same caller's address.
+	freshCopy = time.Second
+)
+
+// phase is how far a balancer has come with a flow.
+type phase uint8
+
+const (
+	phaseOpening phase = iota + 1
+	phaseLocated
+	phaseSearching
+	phaseLost
+)
+
+// passage is what a balancer knows of one flow.
+type passage struct {
+	flow   Flow
+	phase  phase
+	agent  *agent
+	opened time.Time
+	// opening is the opening packet until it is confirmed.
+	opening []byte
+	copy    uint32
+	service string
+	tried   []netip.AddrPort
+	offers  int
+	// unconfirmed says that a host which did not answer may open the flow yet.
+	unconfirmed bool
+	search      search
+	// deadline is when the passage needs attention; at is its heap position.
+	deadline time.Time
+	at       int
+}
+
+// Placer decides for a balancer. It is not safe for concurrent use.
+type Placer struct {
+	domain string
+	routes *catalog.Routes
+	agents map[netip.AddrPort]*agent
+	pools  map[string][]*agent
+	flows  recent[*passage]
+	due    schedule[*passage]
+	pings  schedule[*agent]
+	out    []Action
+}
+
+// NewPlacer returns the placer of a balancer in the failure domain.
+func NewPlacer(domain string) *Placer {
+	return &Placer{
+		domain: domain,
+		agents: make(map[netip.AddrPort]*agent),
+		pools:  make(map[string][]*agent),
+		flows:  newRecent[*passage](),
+	}
+}
+
+// SetRoutes takes a newer configuration. An older one is ignored.
+func (pl *Placer) SetRoutes(ro *catalog.Routes) {
+	if pl.routes == nil || ro.Version > pl.routes.Version {
+		pl.routes = ro
+	}
+}
+
+// Ready reports whether the placer can serve callers: it has routes and at
+// least one agent that is not silent.
+func (pl *Placer) Ready() bool {
+	if pl.routes == nil {
+		return false
+	}
+	for _, ag := range pl.agents {
+		if !ag.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// Flows returns the number of flows that are remembered.
+func (pl *Placer) Flows() int { return pl.flows.length() }
+
+// Deadline returns when Tick is due, zero if nothing is.
+func (pl *Placer) Deadline() time.Time {
+	first := time.Time{}
+	if len(pl.due.items) > 0 {
+		first = pl.due.items[0].due()
+	}
+	if len(pl.pings.items) > 0 {
+		if at := pl.pings.items[0].due(); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// Tick does what has become due.
+func (pl *Placer) Tick(now time.Time) []Action {
+	pl.out = pl.out[:0]
+	for len(pl.due.items) > 0 && !now.Before(pl.due.items[0].deadline) {
+		pa := pl.due.items[0]
+		heap.Remove(&pl.due, 0)
+		switch pa.phase {
+		case phaseOpening:
+			pl.unconfirmed(now, pa)
+		case phaseSearching:
+			pl.searchFurther(now, pa)
+		case phaseLost:
+			pl.flows.remove(pa.flow)
+		}
+	}
+	for len(pl.pings.items) > 0 && !now.Before(pl.pings.items[0].nextPing) {
+		pl.ping(now, pl.pings.items[0])
+	}
+	for _, pa := range pl.flows.expire(now.Add(-FlowIdle), maxFlows) {
+		pl.cancel(pa)
+	}
+	return pl.out
+}
+
+// Arrive takes a packet from the fabric.
+func (pl *Placer) Arrive(now time.Time, pk Packet, data []byte) []Action {
+	pl.out = pl.out[:0]
+	if pk.Accepting || pk.Returned {
+		pl.drop(pk.Flow, ReasonForged, pk.Opening)
+		return pl.out
+	}
+	pa, known := pl.flows.get(now, pk.Flow)
+	if pk.Opening && !pk.Resets {
+		pl.arriveOpening(now, pk, data, pa)
+		return pl.out
+	}
+	if !known {
+		pl.startSearch(now, pk, data)
+		return pl.out
+	}
+	switch pa.phase {
+	case phaseSearching:
+		pa.search.keep(data)
+	case phaseLost:
+		pl.drop(pk.Flow, ReasonNotFound, false)
+	default:
+		if pa.agent == nil {
+			pl.restartSearch(now, pa, pk, data)
+			break
+		}
+		pl.carry(pa.agent, pk.Flow, data, Action{Urgency: UrgencyTake})
+	}
+	return pl.out
+}
+
+// arriveOpening handles an opening packet or a copy of one.
+func (pl *Placer) arriveOpening(now time.Time, pk Packet, data []byte, pa *passage) {
+	if pa != nil && pk.Copy == 0 && now.Sub(pa.opened) > freshCopy {
+		pl.forget(pa)
+		pa = nil
+	}
+	if pa != nil && pa.phase == phaseOpening {
+		// The first copy is still on its way to a host.
+		return
+	}
+	if pa != nil && pa.phase == phaseLocated && pa.agent.takes() {
+		pa.phase = phaseOpening
+		pa.opening = append(pa.opening[:0], data...)
+		pa.tried = append(pa.tried[:0], pa.agent.address)
+		pl.openAt(now, pa, pa.agent, UrgencyTake)
+		return
+	}
+	service, re := pl.serviceOf(pk.Flow)
+	if re != ReasonNone {
+		pl.refuse(pk.Flow, pk.Copy, re)
+		return
+	}
+	if pa != nil {
+		pl.forget(pa)
+	}
+	pa = &passage{
+		flow: pk.Flow, phase: phaseOpening, opened: now, service: service, copy: pk.Copy,
+		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, at: -1,
+	}
+	pl.flows.put(now, pk.Flow, pa)
+	pl.place(now, pa)
+}
+
+// serviceOf returns the service that a new flow goes to.
+func (pl *Placer) serviceOf(flow Flow) (string, Reason) {
+	if pl.routes == nil {
+		return "", ReasonNoRoute
+	}
+	de, ok := pl.routes.Addresses[flow.Service]
+	if !ok {
+		return "", ReasonNoRoute
+	}
+	service := de.Pick(flow.Hash())
+	if service == "" {
+		return "", ReasonNoRoute
+	}
+	return service, ReasonNone
+}
+
+// place sends the opening packet to the best host that wasn't tried.
+func (pl *Placer) place(now time.Time, pa *passage) {
+	if len(pa.tried) >= maxAttempts {
+		pl.giveUp(pa)
+		return
+	}
+	ur := UrgencyOffer
+	if pa.offers >= maxOffers {
+		ur = UrgencyTake
+	}
+	ag := pl.choose(now, pa, ur)
+	if ag == nil && ur == UrgencyOffer {
+		ur = UrgencyTake
+		ag = pl.choose(now, pa, ur)
+	}
+	if ag == nil {
+		pl.giveUp(pa)
+		return
+	}
+	pa.tried = append(pa.tried, ag.address)
+	pl.openAt(now, pa, ag, ur)
+}
+
+// openAt sends the opening packet and waits for the confirmation.
+func (pl *Placer) openAt(now time.Time, pa *passage, ag *agent, ur Urgency) {
+	pa.agent = ag
+	ag.sent++
+	pl.carry(ag, pa.flow, pa.opening, Action{
+		Urgency: ur, Tag: serviceTag(pa.service), Opening: true, Attempt: len(pa.tried),
+		InProgress: ag.estimate(now), Reported: ag.reported,
+	})
+	pl.wait(pa, now.Add(ConfirmTimeout))
+}
+
+// giveUp refuses an opening that no host takes. After an attempt whose outcome
+// is not known the caller's next copy is left to try again.
+func (pl *Placer) giveUp(pa *passage) {
+	pl.forget(pa)
+	if pa.unconfirmed {
+		pl.drop(pa.flow, ReasonUnconfirmed, true)
+		return
+	}
+	pl.refuse(pa.flow, pa.copy, ReasonNoHost)
+}
+
+// unconfirmed handles an opening that no agent has confirmed in time.
+func (pl *Placer) unconfirmed(now time.Time, pa *passage) {
+	pa.unconfirmed = true
+	pl.suspect(now, pa.agent)
+	pl.place(now, pa)
+}
+
+// refuse resets an opening packet. A later copy stays without an answer: an
+// earlier one may have been accepted meanwhile.
+func (pl *Placer) refuse(flow Flow, copies uint32, re Reason) {
+	if copies > 0 || pl.routes == nil {
+		pl.drop(flow, re, true)
+		return
+	}
+	pl.out = append(pl.out, Action{Kind: KindReset, Flow: flow, Reason: re, Opening: true})
+}
+
+// Confirmed takes an agent's word that its host accepted the flow.
+func (pl *Placer) Confirmed(now time.Time, from netip.AddrPort, flow Flow, re Report) []Action {
+	pl.out = pl.out[:0]
+	ag := pl.heard(now, from, re)
+	pa, ok := pl.flows.get(now, flow)
+	if !ok || ag == nil || pa.phase != phaseOpening {
+		return pl.out
+	}
+	pl.cancel(pa)
+	pa.phase = phaseLocated
+	pa.agent = ag
+	pa.opening = nil
+	return pl.out
+}
+
+// Declined takes a packet that an agent handed back.
+func (pl *Placer) Declined(now time.Time, from netip.AddrPort, pk Packet, data []byte, why Reason, re Report) []Action {
+	pl.out = pl.out[:0]
+	ag := pl.heard(now, from, re)
+	pa, ok := pl.flows.get(now, pk.Flow)
+	if !pk.Opening {
+		switch {
+		case !ok:
+			pl.startSearch(now, pk, data)
+		case pa.phase == phaseSearching:
+			pa.search.exclude(from)
+		case pa.phase == phaseLocated && pa.agent == ag:
+			pl.restartSearch(now, pa, pk, data)
+		}
+		return pl.out
+	}
+	if !ok || pa.phase != phaseOpening || pa.agent != ag || ag == nil {
+		return pl.out
+	}
+	if why == ReasonBusy {
+		pa.offers++
+	}
+	pl.cancel(pa)
+	pl.place(now, pa)
+	return pl.out
+}
+
+// Reported takes an agent's report that came by itself.
+func (pl *Placer) Reported(now time.Time, from netip.AddrPort, re Report) []Action {
+	pl.out = pl.out[:0]
+	pl.heard(now, from, re)
+	return pl.out
+}
+
+func (pl *Placer) carry(ag *agent, flow Flow, data []byte, ac Action) {
+	ac.Kind = KindCarry
+	ac.To = ag.address
+	ac.Flow = flow
+	ac.Data = data
+	pl.out = append(pl.out, ac)
+}
+
+func (pl *Placer) drop(flow Flow, re Reason, opening bool) {
+	pl.out = append(pl.out, Action{Kind: KindDrop, Flow: flow, Reason: re, Opening: opening})
+}
+
+// forget removes everything known of the flow.
+func (pl *Placer) forget(pa *passage) {
+	pl.cancel(pa)
+	pl.flows.remove(pa.flow)
+}
+
+// wait sets when the passage needs attention next.
+func (pl *Placer) wait(pa *passage, deadline time.Time) {
+	pl.cancel(pa)
+	pa.deadline = deadline
+	heap.Push(&pl.due, pa)
+}
+
+func (pl *Placer) cancel(pa *passage) {
+	if pa.at >= 0 {
+		heap.Remove(&pl.due, pa.at)
+	}
+}
+
+func (pa *passage) due() time.Time { return pa.deadline }
+
+func (pa *passage) place(at int) { pa.at = at }
+
+// hasTried reports whether the opening went to the agent before.
+func (pa *passage) hasTried(address netip.AddrPort) bool {
+	for _, tried := range pa.tried {
+		if tried == address {
+			return true
+		}
+	}
+	return false
+}
+
+// takesNewFlows reports whether a host in the state takes new flows.
+func takesNewFlows(st register.State) bool { return st.TakesNewWork() }
--- /dev/null
+++ b/internal/coordination/carriage/recent.go
@@ -0,0 +1,71 @@
+package carriage
+
+import (
+	"container/list"
+	"time"
+)
+
+// recent is a map in the order of use, from which the idle entries are removed.
+type recent[V any] struct {
+	entries map[Flow]*list.Element
+	order   *list.List
+}
+
+// used is one entry of a recent map.
+type used[V any] struct {
+	flow  Flow
+	at    time.Time
+	value V
+}
+
+func newRecent[V any]() recent[V] {
+	return recent[V]{entries: make(map[Flow]*list.Element), order: list.New()}
+}
+
+// get returns the value of the flow and marks it as used.
+func (re *recent[V]) get(now time.Time, flow Flow) (V, bool) {
+	el, ok := re.entries[flow]
+	if !ok {
+		var none V
+		return none, false
+	}
+	en := el.Value.(*used[V])
+	en.at = now
+	re.order.MoveToBack(el)
+	return en.value, true
+}
+
+func (re *recent[V]) put(now time.Time, flow Flow, value V) {
+	if el, ok := re.entries[flow]; ok {
+		en := el.Value.(*used[V])
+		en.at, en.value = now, value
+		re.order.MoveToBack(el)
+		return
+	}
+	re.entries[flow] = re.order.PushBack(&used[V]{flow: flow, at: now, value: value})
+}
+
+func (re *recent[V]) remove(flow Flow) {
+	if el, ok := re.entries[flow]; ok {
+		re.order.Remove(el)
+		delete(re.entries, flow)
+	}
+}
+
+// expire removes the entries that were not used since the time, and the oldest
+// ones above the limit, and returns their values.
+func (re *recent[V]) expire(since time.Time, limit int) []V {
+	var removed []V
+	for el := re.order.Front(); el != nil; el = re.order.Front() {
+		en := el.Value.(*used[V])
+		if !en.at.Before(since) && re.order.Len() <= limit {
+			break
+		}
+		re.order.Remove(el)
+		delete(re.entries, en.flow)
+		removed = append(removed, en.value)
+	}
+	return removed
+}
+
+func (re *recent[V]) length() int { return re.order.Len() }
--- /dev/null
+++ b/internal/transport/carrier/agent.go
@@ -0,0 +1,274 @@
+package carrier
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/protocol/waybill"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/gauge"
+)
+
+// agentStop is the least time of an agent's graceful shutdown: the balancers
+// hear of it within that time.
+const agentStop = 300 * time.Millisecond
+
+// AgentConfig is what an agent is opened with.
+type AgentConfig struct {
+	Settings settings.CarrierAgent
+	Format   Format
+	Store    Store
+	Board    *gauge.Board
+	// Ready serves the readiness that the function reports.
+	Ready func(ready func() bool) http.Handler
+	// Control serves the check-ins of the host.
+	Control func(ag *Agent) http.Handler
+}
+
+// Agent carries packets between the balancers, its host and the callers.
+type Agent struct {
+	*node
+	config   AgentConfig
+	outbound *net.UDPConn
+	gate     *carriage.Gate
+	leaving  bool
+}
+
+// OpenAgent opens the sockets of an agent.
+func OpenAgent(co AgentConfig) (*Agent, error) {
+	no, err := newNode(co.Settings.Carrier, co.Store, co.Board, members.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
+	outbound, err := listenUDP(co.Settings.Outbound)
+	if err != nil {
+		no.close()
+		return nil, err
+	}
+	ag := &Agent{node: no, config: co, outbound: outbound}
+	ag.gate = carriage.NewGate(no.started, carriage.GateSettings{
+		HeartbeatInterval: time.Duration(co.Settings.HeartbeatInterval),
+		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
+	})
+	no.tick = func(now time.Time) {
+		if !now.Before(ag.gate.Deadline()) {
+			ag.act(now, ag.gate.Tick(now))
+		}
+	}
+	no.deadline = ag.gate.Deadline
+	no.message = ag.takeWaybill
+	no.changed = func(time.Time) {}
+	no.rerouted = func(_ time.Time, ro *catalog.Routes) { ag.gate.SetRoutes(ro) }
+	return ag, nil
+}
+
+// Run carries packets until the context ends, then stops gracefully.
+func (ag *Agent) Run(ctx context.Context) error {
+	klog.InfoS("Agent started", "name", ag.settings.Name, "domain", ag.settings.Domain,
+		"peers", ag.settings.Peers, "backend", ag.config.Settings.Backend, "store", ag.settings.Store)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	gr, work := errgroup.WithContext(work)
+	ag.run(work, gr)
+	gr.Go(func() error { return read(ag.outbound, ag.takeHostPacket) })
+	gr.Go(func() error { return serve(work, ag.config.Settings.Control, ag.config.Control(ag)) })
+	gr.Go(func() error { return serve(work, ag.settings.Ready, ag.config.Ready(ag.Ready)) })
+	gr.Go(func() error {
+		defer cancel()
+		ag.stop(ctx, work)
+		ag.outbound.Close()
+		ag.close()
+		return nil
+	})
+	err := gr.Wait()
+	klog.InfoS("Agent stopped", "uptime", time.Since(ag.started).Round(time.Millisecond), "err", err)
+	return err
+}
+
+// stop waits for the end of the context, then for that of the open flows.
+func (ag *Agent) stop(ctx, work context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return
+	}
+	began := time.Now()
+	deadline := ag.stopDeadline(began)
+	ag.mu.Lock()
+	ag.leaving = true
+	ag.act(began, ag.gate.Leave(began))
+	left := ag.gate.InProgress()
+	ag.mu.Unlock()
+	klog.InfoS("Agent stopping", "deadline", deadline.Sub(began), "inProgress", left)
+	for time.Now().Before(deadline) && sleep(work, stopCheck) {
+		ag.mu.Lock()
+		left := ag.gate.InProgress()
+		ag.mu.Unlock()
+		if left == 0 && time.Since(began) > agentStop {
+			return
+		}
+	}
+}
+
+// Ready reports whether the host takes new flows.
+func (ag *Agent) Ready() bool {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	return !ag.leaving && ag.gate.Report(time.Now()).State.TakesNewWork()
+}
+
+// CheckIn takes the host's word about itself and reports whether it is current.
+func (ag *Agent) CheckIn(now time.Time, ci carriage.CheckIn) bool {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	before := ag.gate.Report(now).State
+	list, current := ag.gate.CheckIn(now, ci)
+	ag.board.Count("CheckIns", 1)
+	state := ag.gate.Report(now).State
+	if !current || state != before {
+		klog.InfoS("Check-in", "host", ci.Name, "sequence", ci.Sequence, "draining", ci.Draining,
+			"current", current, "before", before, "state", state)
+	}
+	ag.act(now, list)
+	ag.schedule(now)
+	return current
+}
+
+// CheckOut takes the host's word that it ends.
+func (ag *Agent) CheckOut(now time.Time, name string) {
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	list, current := ag.gate.CheckOut(now, name)
+	klog.InfoS("Check-out", "host", name, "current", current)
+	ag.act(now, list)
+	ag.schedule(now)
+}
+
+// RefusedCheckIn notes a check-in that can't be read.
+func (ag *Agent) RefusedCheckIn(name string, err error) {
+	ag.board.Count("CheckInsRefused", 1)
+	klog.ErrorS(err, "Check-in refused", "host", name)
+}
+
+// takeHostPacket handles a packet of the host.
+func (ag *Agent) takeHostPacket(_ netip.AddrPort, datagram []byte) {
+	pk, err := ag.config.Format.FromHost(datagram)
+	if err != nil {
+		ag.board.Count("PacketsRefused", 1)
+		return
+	}
+	if pk.Returned {
+		ag.config.Format.ClearReturned(datagram)
+	}
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	now := time.Now()
+	ag.act(now, ag.gate.FromHost(now, pk, datagram))
+	ag.schedule(now)
+}
+
+// takeWaybill handles a message of a balancer about flows.
+func (ag *Agent) takeWaybill(now time.Time, from netip.AddrPort, datagram []byte) {
+	switch waybill.KindOf(datagram) {
+	case waybill.KindCarry:
+		ag.takeCarry(now, from, datagram)
+	case waybill.KindFind:
+		flow, acknowledged, err := waybill.DecodeFind(datagram)
+		if err != nil {
+			ag.refuse(from, err)
+			return
+		}
+		ag.act(now, ag.gate.Find(now, from, flow, acknowledged))
+	case waybill.KindPing:
+		ag.scratch = waybill.AppendReport(ag.scratch[:0], ag.gate.Report(now))
+		ag.send(from, ag.scratch)
+	default:
+		ag.refuse(from, waybill.ErrMalformed)
+	}
+}
+
+func (ag *Agent) takeCarry(now time.Time, from netip.AddrPort, datagram []byte) {
+	ca, packet, err := waybill.DecodeCarry(datagram)
+	if err != nil {
+		ag.refuse(from, err)
+		return
+	}
+	pk, err := ag.config.Format.FromCaller(packet)
+	if err != nil {
+		ag.refuse(from, err)
+		return
+	}
+	of := carriage.Offer{Packet: pk, From: from, Urgency: ca.Urgency, Tag: ca.Tag, Version: ca.Version}
+	ag.act(now, ag.gate.FromBalancer(now, of, packet))
+	if ca.Version > ag.view.Version() {
+		ag.perform(now, ag.view.Noticed(from, ca.Version))
+	}
+}
+
+func (ag *Agent) refuse(from netip.AddrPort, err error) {
+	ag.board.Count("MessagesRefused", 1)
+	klog.V(1).InfoS("Message refused", "from", from, "err", err)
+}
+
+// act carries out what the gate wants done.
+func (ag *Agent) act(now time.Time, list []carriage.Action) {
+	for i := range list {
+		ac := &list[i]
+		switch ac.Kind {
+		case carriage.KindDeliver:
+			ag.deliver(ac)
+		case carriage.KindReturn:
+			ag.write(ac, netip.AddrPortFrom(ac.Flow.Caller.Addr(), ag.settings.Callers.Port()))
+		case carriage.KindConfirm:
+			klog.InfoS("Opening accepted", "flow", ac.Flow, "balancer", ac.To)
+			ag.scratch = waybill.AppendConfirm(ag.scratch[:0], ac.Flow, ag.gate.Report(now))
+			ag.send(ac.To, ag.scratch)
+		case carriage.KindDecline:
+			ag.board.Count("Declined."+ac.Reason.String(), 1)
+			klog.InfoS("Packet declined", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening,
+				"balancer", ac.To, "inProgress", ac.InProgress)
+			ag.scratch = waybill.AppendDecline(ag.scratch[:0], ac.Reason, ag.gate.Report(now), ac.Data)
+			ag.send(ac.To, ag.scratch)
+		case carriage.KindHeld:
+			klog.InfoS("Flow claimed", "flow", ac.Flow, "balancer", ac.To, "sure", ac.Sure)
+			ag.scratch = waybill.AppendHeld(ag.scratch[:0], ac.Flow, ac.Sure)
+			ag.send(ac.To, ag.scratch)
+		case carriage.KindDrop:
+			ag.board.Count("Dropped."+ac.Reason.String(), 1)
+			klog.InfoS("Packet dropped", "flow", ac.Flow, "reason", ac.Reason)
+		case carriage.KindAnnounce:
+			ag.announce(now)
+		}
+	}
+}
+
+// deliver hands a packet to the host.
+func (ag *Agent) deliver(ac *carriage.Action) {
+	if ac.Opening {
+		ag.board.Count("Openings", 1)
+		klog.InfoS("Opening handed over", "flow", ac.Flow, "inProgress", ac.InProgress)
+	}
+	ag.write(ac, ag.config.Settings.Backend)
+}
+
+func (ag *Agent) write(ac *carriage.Action, to netip.AddrPort) {
+	if _, err := ag.outbound.WriteToUDPAddrPort(ac.Data, to); err != nil {
+		ag.board.Count("SendsFailed", 1)
+		klog.V(1).InfoS("Packet not sent", "flow", ac.Flow, "to", to, "err", err)
+	}
+}
+
+// announce spreads the state of the host.
+func (ag *Agent) announce(now time.Time) {
+	re := ag.gate.Report(now)
+	klog.InfoS("Host state", "state", re.State, "service", ag.gate.Service(), "slots", re.Slots)
+	ag.perform(now, ag.view.SetSelf(now, re.State, ag.gate.Service(), re.Slots))
+}
--- /dev/null
+++ b/internal/transport/carrier/doc.go
@@ -0,0 +1,63 @@
+// Package carrier runs the processes that carry flows: the sockets, timers and
+// servers around the decision cores of the carriage and members packages. It
+// holds no decision.
+//
+// Each process has one lock, which guards its cores. Readers of sockets take it
+// for one datagram at a time; nothing that waits is done under it.
+//
+// # Usage
+//
+//	ba, err := carrier.OpenBalancer(carrier.BalancerConfig{Settings: st, Format: format, Store: store})
+//	err = ba.Run(ctx)
+package carrier
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+// ErrHistoryGone says that a watch can't go on from its revision: the routes
+// must be read again.
+var ErrHistoryGone = errors.New("history of the store is gone")
+
+// Format reads and writes the packets of callers and hosts.
+type Format struct {
+	// FromCaller reads a caller's packet.
+	FromCaller func(datagram []byte) (carriage.Packet, error)
+	// FromHost reads a host's packet, or a caller's that the host returned.
+	FromHost func(datagram []byte) (carriage.Packet, error)
+	// ClearReturned makes a returned packet a caller's packet again.
+	ClearReturned func(datagram []byte)
+	// Reset returns the packet that refuses an opening packet.
+	Reset func(flow carriage.Flow) []byte
+}
+
+// Entry is a process's entry in the store.
+type Entry struct {
+	Name string
+	// Revision is the store's number of the entry's last change.
+	Revision uint64
+	Record   members.Record
+}
+
+// Store makes calls to the platform's store.
+type Store struct {
+	// Members lists the entries of all processes.
+	Members func(ctx context.Context) ([]Entry, error)
+	// Register writes the entry of this process.
+	Register func(ctx context.Context, name string, re members.Record) error
+	// Unregister removes an entry that has not changed.
+	Unregister func(ctx context.Context, en Entry) error
+	// Routes reads the configuration and the store's revision. Without a
+	// configuration the routes are nil.
+	Routes func(ctx context.Context) (*catalog.Routes, uint64, error)
+	// Watch waits until the deadline for a configuration that is newer than the
+	// revision. The routes are nil if there was none.
+	Watch func(ctx context.Context, revision uint64, deadline time.Time) (*catalog.Routes, uint64, error)
+}
--- /dev/null
+++ b/internal/transport/carrier/join.go
@@ -0,0 +1,279 @@
+package carrier
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"k8s.io/klog/v2"
+
+	"corneltiller.dev/corneltiller/internal/coordination/members"
+)
+
+const (
+	// firstBackoff and lastBackoff bound the pause after a failed call to the
+	// store.
+	firstBackoff = 250 * time.Millisecond
+	lastBackoff  = 4 * time.Second
+	// callTimeout bounds one call to the store.
+	callTimeout = 2 * time.Second
+	// watchWait is the longest wait of one watch: a watch that hears nothing
+	// must end well before a configuration is due in force everywhere.
+	watchWait = 1800 * time.Millisecond
+	// watchersInDomain is the number of balancers of a failure domain that
+	// watch the store; the others hear from them.
+	watchersInDomain = 2
+	// watcherCheck is the time between two looks of a balancer that doesn't
+	// watch whether it has to.
+	watcherCheck = time.Second
+	// cleanPause is the least time between two looks for stale entries.
+	cleanPause = 20 * time.Second
+)
+
+// backoff is the pause before the next try: doubled at each failure, with a
+// jitter that keeps processes apart.
+type backoff struct {
+	failures int
+}
+
+// wait pauses. It reports false if the context ended.
+func (bo *backoff) wait(ctx context.Context) bool {
+	pause := min(firstBackoff<<min(bo.failures, 6), lastBackoff)
+	bo.failures++
+	return sleep(ctx, pause/2+rand.N(pause/2))
+}
+
+// sleep reports false if the context ended first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	ti := time.NewTimer(pause)
+	defer ti.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ti.C:
+		return true
+	}
+}
+
+// join greets the seeds, finds the other members in the store, enters itself
+// and enters itself again whenever its entry has vanished.
+func (no *node) join(ctx context.Context) error {
+	no.greet(nil)
+	var bo backoff
+	for {
+		err := no.register(ctx)
+		if err == nil {
+			break
+		}
+		klog.ErrorS(err, "Store not reached; members found by seeds only", "failures", bo.failures)
+		if !bo.wait(ctx) {
+			return nil
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-no.forgotten:
+			no.reenter(ctx)
+		}
+	}
+}
+
+// greet greets the members found and the seeds.
+func (no *node) greet(found []members.Record) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	now := time.Now()
+	no.perform(now, no.view.Join(now, found, no.seeds()))
+	no.schedule(now)
+}
+
+// seeds returns the addresses at which the seeds take members' messages.
+func (no *node) seeds() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, se := range no.settings.Seeds {
+		list = append(list, netip.AddrPortFrom(se.Addr(), no.settings.Peers.Port()))
+	}
+	return list
+}
+
+// register reads all entries and writes the own one if it isn't there.
+func (no *node) register(ctx context.Context) error {
+	entries, err := no.entries(ctx)
+	if err != nil {
+		return err
+	}
+	var found []members.Record
+	present := false
+	own := no.self()
+	for _, en := range entries {
+		if en.Record.Address == own.Address {
+			present = present || en.Name == no.settings.Name && en.Record.Role == own.Role
+			continue
+		}
+		found = append(found, en.Record)
+	}
+	klog.InfoS("Members found in the store", "count", len(found), "self", present)
+	no.greet(found)
+	if present {
+		return nil
+	}
+	return no.enter(ctx)
+}
+
+func (no *node) entries(ctx context.Context) ([]Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return no.store.Members(ctx)
+}
+
+func (no *node) enter(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return no.store.Register(ctx, no.settings.Name, no.self())
+}
+
+func (no *node) self() members.Record {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.view.Self()
+}
+
+// reenter writes the own entry after others had removed it.
+func (no *node) reenter(ctx context.Context) {
+	if err := no.enter(ctx); err != nil {
+		klog.ErrorS(err, "Entry not written again")
+		return
+	}
+	klog.InfoS("Entry written again")
+}
+
+// follow keeps the routes up to date from the store.
+func (no *node) follow(ctx context.Context) error {
+	var bo backoff
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		if revision > 0 && !no.isWatcher() {
+			sleep(ctx, watcherCheck)
+			continue
+		}
+		next, err := no.followOnce(ctx, revision)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, ErrHistoryGone):
+			klog.InfoS("Store has dropped its history; reading again", "revision", revision)
+			revision = 0
+		case err != nil:
+			no.lost(err, &bo)
+			if !bo.wait(ctx) {
+				return nil
+			}
+		default:
+			if bo.failures > 0 {
+				klog.InfoS("Store regained", "failures", bo.failures)
+			}
+			bo.failures = 0
+			revision = next
+		}
+	}
+	return nil
+}
+
+func (no *node) lost(err error, bo *backoff) {
+	no.board.Count("StoreFailures", 1)
+	if bo.failures == 0 {
+		klog.ErrorS(err, "Store lost")
+	}
+}
+
+// isWatcher reports whether the process is one of the first balancers of its
+// failure domain, by address. Two of them may differ about that for a while,
+// which costs calls to the store only.
+func (no *node) isWatcher() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	before := 0
+	for _, re := range no.view.Records() {
+		sameDomain := re.Role == members.RoleBalancer && re.Domain == no.settings.Domain
+		if sameDomain && re.State.TakesNewWork() && re.Address.Compare(no.settings.Peers) < 0 {
+			before++
+		}
+	}
+	return before < watchersInDomain
+}
+
+// followOnce reads the routes, or waits for a change after the revision.
+func (no *node) followOnce(ctx context.Context, revision uint64) (uint64, error) {
+	if revision > 0 {
+		ro, next, err := no.store.Watch(ctx, revision, time.Now().Add(watchWait))
+		if err == nil && ro != nil {
+			no.publish(ro)
+		}
+		return next, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ro, next, err := no.store.Routes(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if ro == nil {
+		return next, nil
+	}
+	no.publish(ro)
+	return next, nil
+}
+
+// clean removes the entries of members that were removed from the view. Of all
+// balancers only the one of lowest address does so.
+func (no *node) clean(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case address := <-no.removed:
+			if no.isCleaner() {
+				no.cleanEntries(ctx, address)
+			}
+		}
+		if !sleep(ctx, cleanPause) {
+			return nil
+		}
+	}
+}
+
+// isCleaner reports whether the process is the balancer of lowest address.
+func (no *node) isCleaner() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	for _, re := range no.view.Records() {
+		if re.Role == members.RoleBalancer && re.Address.Compare(no.settings.Peers) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// cleanEntries removes the entries of the address and of others removed since.
+func (no *node) cleanEntries(ctx context.Context, address netip.AddrPort) {
+	gone := map[netip.AddrPort]struct{}{address: {}}
+	for len(no.removed) > 0 {
+		gone[<-no.removed] = struct{}{}
+	}
+	entries, err := no.entries(ctx)
+	if err != nil {
+		klog.ErrorS(err, "Stale entries not removed", "count", len(gone))
+		return
+	}
+	for _, en := range entries {
+		if _, ok := gone[en.Record.Address]; !ok {
+			continue
+		}
+		err := no.store.Unregister(ctx, en)
+		klog.InfoS("Stale entry removed", "name", en.Name, "member", en.Record.Address, "err", err)
+	}
+}
