feat: openings wait at the agent, the timely ones first

Built: a queue at the agent that hands over at most two flows a slot, those that can still meet their goal first, by priority, then the newest.

--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -21,6 +21,10 @@
 	// drainGrace is how long after the acknowledgement a leaving host still
 	// takes flows that no other host takes: less than the operators allow.
 	drainGrace = 2 * time.Second
+	// handshakeTimeout is how long a flow counts as in progress before its caller
+	// ends the handshake: several round trips. A caller that has given up never
+	// does.
+	handshakeTimeout = 60 * time.Millisecond
 	// workTimeout is how long a flow without packets counts as in progress.
 	workTimeout = 2 * time.Second
 	// maxHeld bounds the flows that an agent remembers.
@@ -68,6 +72,8 @@
 	first uint32
 	// working says that the flow counts as in progress.
 	working bool
+	// opened is when the opening was given to the host, zero if unknown.
+	opened time.Time
 	// lastUsed is when the last packet of the flow came.
 	lastUsed time.Time
 }
@@ -94,10 +100,13 @@
 	// which the agent doesn't know.
 	elder    bool
 	flows    recent[*holding]
+	queue    queue
 	progress int
-	nextScan time.Time
-	told     Report
-	out      []Action
+	// handshakes are the openings handed over, the oldest first.
+	handshakes []*holding
+	nextScan   time.Time
+	told       Report
+	out        []Action
 }
 
 // GateSettings are the settings of a Gate.
@@ -106,13 +115,15 @@
 	HeartbeatInterval time.Duration
 	// FlowLifetime is how long a flow may last.
 	FlowLifetime time.Duration
+	// OpeningTimeout is when a caller gives up an opening without an answer.
+	OpeningTimeout time.Duration
 }
 
 // NewGate returns the gate of an agent that starts now.
 func NewGate(now time.Time, st GateSettings) *Gate {
 	return &Gate{
 		started: now, heartbeat: st.HeartbeatInterval, lifetime: st.FlowLifetime,
-		elder: true, flows: newRecent[*holding](), nextScan: now,
+		elder: true, flows: newRecent[*holding](), queue: newQueue(st.OpeningTimeout), nextScan: now,
 	}
 }
 
@@ -125,7 +136,8 @@
 
 // Report returns what the agent says about its host.
 func (ga *Gate) Report(now time.Time) Report {
-	re := Report{State: ga.state(now), InProgress: uint16(min(ga.progress, 1<<16-1)), Slots: ga.host.Slots}
+	load := ga.progress + len(ga.queue.items)
+	re := Report{State: ga.state(now), InProgress: uint16(min(load, 1<<16-1)), Slots: ga.host.Slots}
 	if ga.routes != nil {
 		re.Version = ga.routes.Version
 	}
@@ -135,8 +147,9 @@
 // Service returns the service of the host, "" while it is unknown.
 func (ga *Gate) Service() string { return ga.host.Service }
 
-// InProgress returns the number of flows whose request is not yet answered.
-func (ga *Gate) InProgress() int { return ga.progress }
+// InProgress returns the number of flows whose request is not yet answered,
+// those that wait for the host included.
+func (ga *Gate) InProgress() int { return ga.progress + len(ga.queue.items) }
 
 // Flows returns the number of flows that are remembered.
 func (ga *Gate) Flows() int { return ga.flows.length() }
@@ -265,13 +278,92 @@
 			ga.decline(of, data, re)
 			return
 		}
-		ho = &holding{flow: of.Flow, stage: stageOffered}
+		if ga.progress >= ga.limit() {
+			ga.enqueue(now, of, data)
+			return
+		}
+		ho = &holding{flow: of.Flow, stage: stageOffered, opened: now}
 		ga.flows.put(now, of.Flow, ho)
 		ga.setWorking(ho, true)
 	}
+	ga.handOver(now, of, data, ho)
+}
+
+// overlap is the number of flows for each slot that the host may have at once:
+// while one is worked on the next one ends its handshake.
+const overlap = 2
+
+// limit returns the number of flows in progress above which openings wait.
+func (ga *Gate) limit() int {
+	return overlap * int(max(ga.host.Slots, 1))
+}
+
+// enqueue lets an opening wait for the host.
+func (ga *Gate) enqueue(now time.Time, of Offer, data []byte) {
+	if ga.queue.contains(of.Flow) {
+		return
+	}
+	var route catalog.Route
+	if ga.routes != nil {
+		route = ga.routes.Addresses[of.Service]
+	}
+	if !ga.queue.add(now, of, data, route, int(ga.host.Slots)) {
+		ga.decline(of, data, ReasonFull)
+		return
+	}
+	ga.out = append(ga.out, Action{
+		Kind: KindConfirm, To: of.From, Flow: of.Flow, Reason: ReasonBusy, InProgress: float64(ga.InProgress()),
+	})
+}
+
+// serveQueue hands waiting openings over while the host has room, and declines
+// them if it takes no more.
+func (ga *Gate) serveQueue(now time.Time) {
+	ga.endHandshakes(now)
+	if len(ga.queue.items) == 0 {
+		return
+	}
+	for _, it := range ga.queue.expired(now) {
+		ga.out = append(ga.out, Action{Kind: KindDrop, Flow: it.offer.Flow, Reason: ReasonUnconfirmed, Opening: true})
+	}
+	if st := ga.state(now); !st.TakesNewWork() {
+		for _, it := range ga.queue.drain() {
+			ga.decline(it.offer, it.data, ReasonDraining)
+		}
+		return
+	}
+	for ga.progress < ga.limit() {
+		it, ok := ga.queue.next(now)
+		if !ok {
+			return
+		}
+		ho := &holding{flow: it.offer.Flow, stage: stageOffered, opened: now}
+		ga.flows.put(now, it.offer.Flow, ho)
+		ga.setWorking(ho, true)
+		ga.handOver(now, it.offer, it.data, ho)
+	}
+}
+
+// endHandshakes frees the slots of callers that did not end the handshake.
+func (ga *Gate) endHandshakes(now time.Time) {
+	for len(ga.handshakes) > 0 {
+		ho := ga.handshakes[0]
+		if ho.stage <= stageAccepted && now.Sub(ho.opened) < handshakeTimeout {
+			return
+		}
+		if ho.stage <= stageAccepted {
+			ga.setWorking(ho, false)
+		}
+		ga.handshakes = ga.handshakes[1:]
+	}
+}
+
+// handOver gives an opening to the host.
+func (ga *Gate) handOver(now time.Time, of Offer, data []byte, ho *holding) {
 	ho.balancer = of.From
 	ho.lastUsed = now
 	if ho.stage == stageOffered {
+		ga.handshakes = append(ga.handshakes, ho)
 		if ga.unanswered == 0 {
 			ga.waitingSince = now
 		}
@@ -312,7 +404,7 @@
 	if ga.routes == nil || ga.routes.Version < of.Version {
 		return false
 	}
-	return !ga.routes.Addresses[of.Service].Contains(ga.host.Service)
+	return !ga.routes.Addresses[of.Service].Services.Contains(ga.host.Service)
 }
 
 // unheld handles a packet of a flow that the agent doesn't know.
@@ -340,6 +432,7 @@
 			return
 		}
 		ho.stage = stageOpen
+		ga.setWorking(ho, true)
 	case stageTried:
 		if of.Urgency != UrgencyTry {
 			ga.decline(of, data, ReasonNotHeld)
@@ -371,10 +464,12 @@
 	}
 	if pk.Returned {
 		ga.returned(pk, data)
+		ga.serveQueue(now)
 		return ga.out
 	}
 	ga.answered(now, pk)
 	ga.out = append(ga.out, Action{Kind: KindReturn, Flow: pk.Flow, Data: data})
+	ga.serveQueue(now)
 	return ga.out
 }
 
@@ -419,6 +514,9 @@
 		ga.out = append(ga.out, Action{Kind: KindHeld, To: ho.balancer, Flow: pk.Flow, Sure: true})
 	}
 	if pk.Finishes || pk.Resets {
+		if ho.working && !ho.opened.IsZero() {
+			ga.queue.served(now.Sub(ho.opened))
+		}
 		ga.setWorking(ho, false)
 	}
 }
@@ -467,7 +565,7 @@
 func (ga *Gate) Tick(now time.Time) []Action {
 	ga.out = ga.out[:0]
 	ga.nextScan = now.Add(idleScan)
-	if ga.unanswered > 0 && !ga.silent {
+	if ga.unanswered > 0 && !ga.silent || len(ga.queue.items) > 0 {
 		ga.nextScan = now.Add(busyScan)
 	}
 	if ga.unanswered >= leastUnanswered && now.Sub(ga.waitingSince) >= hostTimeout {
@@ -478,6 +576,7 @@
 	}
 	ga.releaseIdle(now)
 	ga.announce(now)
+	ga.serveQueue(now)
 	return ga.out
 }
 
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -215,7 +215,7 @@
 	if !ok {
 		return "", ReasonNoRoute
 	}
-	service := de.Pick(flow.Hash())
+	service := de.Services.Pick(flow.Hash())
 	if service == "" {
 		return "", ReasonNoRoute
 	}
--- /dev/null
+++ b/internal/coordination/carriage/queue.go
@@ -0,0 +1,154 @@
+package carriage
+
+import (
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+const (
+	// firstServiceTime is taken for the time of a request until some were seen.
+	firstServiceTime = 30 * time.Millisecond
+	// serviceTimeShare is the share of the newest time in the moving average.
+	serviceTimeShare = 0.1
+	// callerRoundTrip is what the handshake and the answer take on their way.
+	callerRoundTrip = 12 * time.Millisecond
+	// maxQueued bounds the openings that wait at one agent.
+	maxQueued = 256
+)
+
+// queued is an opening that waits for its host.
+type queued struct {
+	offer Offer
+	data  []byte
+	// started is when the caller sent its first copy, goal when it should have
+	// its answer and expires when it gives the opening up.
+	started  time.Time
+	goal     time.Time
+	expires  time.Time
+	priority uint8
+}
+
+// queue holds the openings that wait for their host. It answers more load than
+// the host can serve: after an outage, or while hosts warm up. First come the
+// openings that can still be answered within their goal, by priority and then
+// the newest first, as it has the most time left for its work; then the late
+// ones, by priority and then the oldest first. Without that order every caller
+// waits so long that all are late.
+type queue struct {
+	items   []queued
+	service time.Duration
+	patient time.Duration
+}
+
+// newQueue returns an empty queue for callers who give an opening up after the
+// time.
+func newQueue(patience time.Duration) queue {
+	return queue{service: firstServiceTime, patient: patience}
+}
+
+// served takes how long a request took from its opening to its answer.
+func (qu *queue) served(took time.Duration) {
+	qu.service += time.Duration(serviceTimeShare * float64(took-qu.service))
+}
+
+// add takes an opening. It reports false if the opening would wait until the
+// caller gives up, behind the others on so many slots.
+func (qu *queue) add(now time.Time, of Offer, data []byte, de catalog.Route, slots int) bool {
+	started := now.Add(-copyAge(of.Copy))
+	wait := qu.service * time.Duration(len(qu.items)+1) / time.Duration(max(slots, 1))
+	expires := started.Add(qu.patient)
+	if len(qu.items) >= maxQueued || now.Add(wait).After(expires) {
+		return false
+	}
+	it := queued{
+		offer: of, data: append([]byte(nil), data...), started: started, expires: expires, priority: de.Priority,
+	}
+	if de.Goal > 0 {
+		it.goal = started.Add(de.Goal)
+	}
+	qu.items = append(qu.items, it)
+	return true
+}
+
+// copyAge returns how long ago a caller sent the first copy of an opening.
+func copyAge(copies uint32) time.Duration {
+	switch copies {
+	case 0:
+		return 0
+	case 1:
+		return 200 * time.Millisecond
+	default:
+		return 600 * time.Millisecond
+	}
+}
+
+// timely reports whether the opening can still be answered within its goal.
+func (qu *queue) timely(now time.Time, it *queued) bool {
+	return it.goal.IsZero() || !now.Add(qu.service+callerRoundTrip).After(it.goal)
+}
+
+// before reports whether the opening a goes before b.
+func (qu *queue) before(now time.Time, a, b *queued) bool {
+	timely := qu.timely(now, a)
+	if timely != qu.timely(now, b) {
+		return timely
+	}
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if timely {
+		return a.started.After(b.started)
+	}
+	return a.started.Before(b.started)
+}
+
+// next removes and returns the opening whose turn it is.
+func (qu *queue) next(now time.Time) (queued, bool) {
+	if len(qu.items) == 0 {
+		return queued{}, false
+	}
+	best := 0
+	for i := range qu.items {
+		if qu.before(now, &qu.items[i], &qu.items[best]) {
+			best = i
+		}
+	}
+	it := qu.items[best]
+	qu.items = append(qu.items[:best], qu.items[best+1:]...)
+	return it, true
+}
+
+// expired removes and returns the openings that their callers have given up.
+func (qu *queue) expired(now time.Time) []queued {
+	return qu.remove(func(it *queued) bool { return now.After(it.expires) })
+}
+
+// drain removes and returns all openings.
+func (qu *queue) drain() []queued {
+	return qu.remove(func(*queued) bool { return true })
+}
+
+func (qu *queue) remove(leaves func(it *queued) bool) []queued {
+	var gone []queued
+	kept := qu.items[:0]
+	for i := range qu.items {
+		if leaves(&qu.items[i]) {
+			gone = append(gone, qu.items[i])
+		} else {
+			kept = append(kept, qu.items[i])
+		}
+	}
+	qu.items = kept
+	return gone
+}
+
+// contains reports whether an opening of the flow waits.
+func (qu *queue) contains(flow Flow) bool {
+	for i := range qu.items {
+		if qu.items[i].offer.Flow == flow {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -115,7 +115,7 @@
 func (pl *Placer) holders(flow Flow) []*agent {
 	var list []*agent
 	if pl.routes != nil {
-		for _, ws := range pl.routes.Addresses[flow.Service] {
+		for _, ws := range pl.routes.Addresses[flow.Service].Services {
 			list = append(list, pl.pools[ws.Service]...)
 		}
 	}
--- a/internal/protocol/waybill/routes.go
+++ b/internal/protocol/waybill/routes.go
@@ -16,6 +16,8 @@
 	_        struct{} `cbor:",toarray"`
 	Address  netip.AddrPort
 	Services []share
+	Goal     time.Duration
+	Priority uint8
 }
 
 // share is a service, by its place in the list, with its weight.
@@ -44,8 +46,9 @@
 	}
 	slices.SortFunc(addresses, func(a, b netip.AddrPort) int { return a.Compare(b) })
 	for _, address := range addresses {
-		added := route{Address: address}
-		for _, ws := range ro.Addresses[address] {
+		found := ro.Addresses[address]
+		added := route{Address: address, Goal: found.Goal, Priority: found.Priority}
+		for _, ws := range found.Services {
 			place, ok := places[ws.Service]
 			if !ok {
 				place = uint32(len(en.Services))
@@ -71,7 +74,7 @@
 	}
 	ro := &catalog.Routes{
 		Version: en.Version, IdleTimeout: en.IdleTimeout,
-		Addresses: make(map[netip.AddrPort]catalog.Destination, len(en.Routes)),
+		Addresses: make(map[netip.AddrPort]catalog.Route, len(en.Routes)),
 	}
 	for _, found := range en.Routes {
 		de := make(catalog.Destination, 0, len(found.Services))
@@ -81,7 +84,7 @@
 			}
 			de = append(de, catalog.WeightedService{Service: en.Services[sh.Service], Weight: sh.Weight})
 		}
-		ro.Addresses[found.Address] = de
+		ro.Addresses[found.Address] = catalog.Route{Services: de, Goal: found.Goal, Priority: found.Priority}
 	}
 	return ro, nil
 }
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -11,11 +11,23 @@
 	// Version grows with each accepted configuration, by irregular steps.
 	Version uint64
 	// Addresses are the addresses that callers may open flows to.
-	Addresses map[netip.AddrPort]Destination
+	Addresses map[netip.AddrPort]Route
 	// IdleTimeout is how long a flow may be silent before it may be forgotten.
 	IdleTimeout time.Duration
 }
 
+// Route says where new flows of one address go and what their requests need.
+type Route struct {
+	// Services are the services that new flows go to.
+	Services Destination
+	// Goal is the time within which a caller should have its answer, zero
+	// without one.
+	Goal time.Duration
+	// Priority orders requests when not all can be served at once: the lowest
+	// goes first.
+	Priority uint8
+}
+
 // Destination names the services that new flows of one address go to.
 type Destination []WeightedService
 
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -28,6 +28,8 @@
 	Format   Format
 	Store    Store
 	Board    *gauge.Board
+	// OpeningTimeout is when a caller gives up an opening without an answer.
+	OpeningTimeout time.Duration
 	// Ready serves the readiness that the function reports.
 	Ready func(ready func() bool) http.Handler
 	// Control serves the check-ins of the host.
@@ -58,6 +60,7 @@
 	ag.gate = carriage.NewGate(no.started, carriage.GateSettings{
 		HeartbeatInterval: time.Duration(co.Settings.HeartbeatInterval),
 		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
+		OpeningTimeout:    co.OpeningTimeout,
 	})
 	no.tick = func(now time.Time) {
 		if !now.Before(ag.gate.Deadline()) {
@@ -228,7 +231,8 @@
 		case carriage.KindReturn:
 			ag.write(ac, netip.AddrPortFrom(ac.Flow.Caller.Addr(), ag.settings.Callers.Port()))
 		case carriage.KindConfirm:
-			klog.InfoS("Opening accepted", "flow", ac.Flow, "balancer", ac.To)
+			klog.InfoS("Opening accepted", "flow", ac.Flow, "balancer", ac.To, "waits", ac.Reason == carriage.ReasonBusy,
+				"inProgress", ag.gate.InProgress())
 			ag.scratch = waybill.AppendConfirm(ag.scratch[:0], ac.Flow, ag.gate.Report(now))
 			ag.send(ac.To, ag.scratch)
 		case carriage.KindDecline:
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -16,7 +16,7 @@
 	// firstBackoff and lastBackoff bound the pause after a failed call to the
 	// store.
 	firstBackoff = 250 * time.Millisecond
-	lastBackoff  = 4 * time.Second
+	lastBackoff  = 2 * time.Second
 	// callTimeout bounds one call to the store.
 	callTimeout = 2 * time.Second
 	// watchWait is the longest wait of one watch: a watch that hears nothing
@@ -39,8 +39,8 @@
 }
 
 // wait pauses. It reports false if the context ended.
-func (bo *backoff) wait(ctx context.Context) bool {
-	pause := min(firstBackoff<<min(bo.failures, 6), lastBackoff)
+func (bo *backoff) wait(ctx context.Context, most time.Duration) bool {
+	pause := min(firstBackoff<<min(bo.failures, 6), most)
 	bo.failures++
 	return sleep(ctx, pause/2+rand.N(pause/2))
 }
@@ -68,7 +68,7 @@
 			break
 		}
 		klog.ErrorS(err, "Store not reached; members found by seeds only", "failures", bo.failures)
-		if !bo.wait(ctx) {
+		if !bo.wait(ctx, lastBackoff) {
 			return nil
 		}
 	}
@@ -169,7 +169,7 @@
 			revision = 0
 		case err != nil:
 			no.lost(err, &bo)
-			if !bo.wait(ctx) {
+			if !bo.wait(ctx, no.retryPause()) {
 				return nil
 			}
 		default:
@@ -183,6 +183,17 @@
 	return nil
 }
 
+// retryPause returns the longest pause before the next try: short for a process
+// that can't serve without a configuration.
+func (no *node) retryPause() time.Duration {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.routes == nil {
+		return firstBackoff
+	}
+	return lastBackoff
+}
+
 func (no *node) lost(err error, bo *backoff) {
 	no.board.Count("StoreFailures", 1)
 	if bo.failures == 0 {
