--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -31,10 +31,9 @@
 
 // queue holds the openings that wait for their host. It answers more load than
 // the host can serve: after an outage, or while hosts warm up. First come the
-// openings that can still be answered within their goal, by priority and then
-// the newest first, as it has the most time left for its work; then the late
-// ones, by priority and then the oldest first. Without that order every caller
-// waits so long that all are late.
+// openings that can still be answered within their goal, by priority, then the
+// late ones; among equals the newest first, as its caller has the most time left.
+// In the order of arrival every caller would wait until it is late or gone.
 type queue struct {
 	items   []queued
 	service time.Duration
@@ -97,10 +96,7 @@
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	if timely {
-		return a.started.After(b.started)
-	}
-	return a.started.Before(b.started)
+	return a.started.After(b.started)
 }
 
 // next removes and returns the opening whose turn it is.
