--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -307,7 +307,7 @@
 	if ga.routes != nil {
 		route = ga.routes.Addresses[of.Service]
 	}
-	if !ga.queue.add(now, of, data, route, int(ga.host.Slots)) {
+	if !ga.queue.add(now, of, data, route, ga.limit()) {
 		ga.decline(of, data, ReasonFull)
 		return
 	}
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -51,25 +51,37 @@
 	qu.service += time.Duration(serviceTimeShare * float64(took-qu.service))
 }
 
-// add takes an opening. It reports false if the opening would wait until the
-// caller gives up, behind the others on so many slots.
-func (qu *queue) add(now time.Time, of Offer, data []byte, de catalog.Route, slots int) bool {
+// add takes an opening. It reports false if the opening would wait, behind
+// those that go before it and with so many in progress at once, until its caller
+// gives up.
+func (qu *queue) add(now time.Time, of Offer, data []byte, ro catalog.Route, limit int) bool {
 	started := now.Add(-copyAge(of.Copy))
-	wait := qu.service * time.Duration(len(qu.items)+1) / time.Duration(max(slots, 1))
-	expires := started.Add(qu.patient)
-	if len(qu.items) >= maxQueued || now.Add(wait).After(expires) {
-		return false
-	}
 	it := queued{
-		offer: of, data: append([]byte(nil), data...), started: started, expires: expires, priority: de.Priority,
+		offer: of, data: append([]byte(nil), data...), started: started,
+		expires: started.Add(qu.patient), priority: ro.Priority,
 	}
-	if de.Goal > 0 {
-		it.goal = started.Add(de.Goal)
+	if ro.Goal > 0 {
+		it.goal = started.Add(ro.Goal)
+	}
+	wait := qu.service * time.Duration(qu.ahead(now, &it)+1) / time.Duration(limit)
+	if len(qu.items) >= maxQueued || now.Add(wait).After(it.expires) {
+		return false
 	}
 	qu.items = append(qu.items, it)
 	return true
 }
 
+// ahead returns the number of openings that go before it.
+func (qu *queue) ahead(now time.Time, it *queued) int {
+	count := 0
+	for i := range qu.items {
+		if qu.before(now, &qu.items[i], it) {
+			count++
+		}
+	}
+	return count
+}
+
 // copyAge returns how long ago a caller sent the first copy of an opening.
 func copyAge(copies uint32) time.Duration {
 	switch copies {
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -174,6 +174,8 @@
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	now := time.Now()
+	klog.V(2).InfoS("Host packet", "flow", pk.Flow, "accepting", pk.Accepting, "finishes", pk.Finishes,
+		"resets", pk.Resets, "returned", pk.Returned, "bytes", len(datagram))
 	ag.act(now, ag.gate.FromHost(now, pk, datagram))
 	ag.schedule(now)
 }
@@ -209,6 +211,8 @@
 		ag.refuse(from, err)
 		return
 	}
+	klog.V(2).InfoS("Caller packet", "flow", pk.Flow, "balancer", from, "opening", pk.Opening, "copy", pk.Copy,
+		"finishes", pk.Finishes, "resets", pk.Resets, "urgency", ca.Urgency, "bytes", len(packet))
 	of := carriage.Offer{Packet: pk, From: from, Urgency: ca.Urgency, Tag: ca.Tag, Version: ca.Version}
 	ag.act(now, ag.gate.FromBalancer(now, of, packet))
 	if ca.Version > ag.view.Version() {
--- a/internal/transport/journal/journal.go
+++ b/internal/transport/journal/journal.go
@@ -10,6 +10,7 @@
 package journal
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -21,6 +22,8 @@
 	maxBuffered = 256 << 10
 	// flushInterval is how long a line may wait; it saves system calls.
 	flushInterval = 200 * time.Millisecond
+	// atomicWrite is the number of bytes that a pipe takes in one piece.
+	atomicWrite = 4096
 )
 
 // Journal is an io.Writer that never blocks. It is safe for concurrent use.
@@ -113,7 +116,26 @@
 	if dropped > 0 {
 		data = append(data, fmt.Sprintf("Log lines left out count=%d\n", dropped)...)
 	}
-	// A failed write has nowhere to be reported: the log itself is broken.
-	_, _ = jo.out.Write(data)
+	for len(data) > 0 {
+		length := wholeLines(data)
+		// A failed write has nowhere to be reported: the log itself is broken.
+		_, _ = jo.out.Write(data[:length])
+		data = data[length:]
+	}
 	return closed
 }
+
+// wholeLines returns the length of as many whole lines as one write to a pipe
+// takes at once, so that lines of several processes are not mixed.
+func wholeLines(data []byte) int {
+	if len(data) <= atomicWrite {
+		return len(data)
+	}
+	if end := bytes.LastIndexByte(data[:atomicWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(data)
+}
