feat: openings wait for a host to appear; a restarted agent asks its host

Cause: after an outage the first copies of openings were dropped while routes or hosts were unknown, and the next copy comes 400 ms later; agents waited up to 1.2 s for a check-in. Agents no longer enter themselves in the store; they read it after a restart only.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -16,6 +16,8 @@
 	KindReset
 	// KindDrop only notes that the packet goes nowhere.
 	KindDrop
+	// KindPark only notes that the opening waits for a host to appear.
+	KindPark
 	// KindFind asks the agent To whether its host holds the flow.
 	KindFind
 	// KindPing asks the agent To for a report.
@@ -58,6 +60,8 @@
 	Reason Reason
 	// Opening says that the packet opens the flow.
 	Opening bool
+	// Started is when the caller sent the first copy of an opening.
+	Started time.Time
 	// Attempt numbers the hosts that an opening was sent to from one.
 	Attempt int
 	// InProgress is the load on which the choice of a host was based.
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -81,7 +81,8 @@
 
 // SetAgents takes the members of the fleet. What is known of an agent that
 // stays is kept.
-func (pl *Placer) SetAgents(now time.Time, list []Agent) {
+func (pl *Placer) SetAgents(now time.Time, list []Agent) []Action {
+	pl.out = pl.out[:0]
 	present := make(map[netip.AddrPort]struct{}, len(list))
 	for _, me := range list {
 		present[me.Address] = struct{}{}
@@ -103,7 +104,8 @@
 		}
 	}
 	pl.pool()
-	_ = now
+	pl.unpark(now)
+	return pl.out
 }
 
 // pool sorts the agents by service and address.
@@ -117,9 +119,9 @@
 	}
 }
 
-// choose returns the host for a new flow, nil if none is left. An offer goes to
-// hosts that were not tried; a flow that must be taken may go to one again.
-func (pl *Placer) choose(now time.Time, pa *passage, ur Urgency) *agent {
+// choose returns the best host for a new flow of those that were not tried, nil
+// if none is left. Hosts that may not take new flows come last.
+func (pl *Placer) choose(now time.Time, pa *passage) *agent {
 	pool := pl.pools[pa.service]
 	if len(pool) == 0 {
 		return nil
@@ -129,7 +131,7 @@
 	start := int(pa.flow.Hash() % uint64(len(pool)))
 	for i := range pool {
 		ag := pool[(start+i)%len(pool)]
-		if !pl.eligible(ag, pa, ur) {
+		if pa.hasTried(ag) || ag.report.State == register.StateGone {
 			continue
 		}
 		if cost := ag.cost(now, pl.domain) + ag.doubt(); cost < least {
@@ -151,18 +153,6 @@
 	return doubtful
 }
 
-// eligible reports whether the opening may be sent to the agent.
-func (pl *Placer) eligible(ag *agent, pa *passage, ur Urgency) bool {
-	if ur == UrgencyOffer {
-		return ag.takes() && !pa.hasTried(ag.address)
-	}
-	if ag.takes() {
-		// A host that declined as busy may be asked to take the flow.
-		return !pa.hasTried(ag.address) || pa.offers > 0 && !pa.unconfirmed && ag.report.InProgress > 0
-	}
-	return !pa.hasTried(ag.address) && ag.report.State != register.StateGone
-}
-
 // heard takes a sign of life of an agent.
 func (pl *Placer) heard(now time.Time, from netip.AddrPort, re Report) *agent {
 	ag, ok := pl.agents[from]
@@ -177,6 +167,7 @@
 		pl.unschedule(ag)
 		pl.out = append(pl.out, Action{Kind: KindTrust, To: from, Attempt: ag.pings})
 	}
+	pl.unpark(now)
 	return ag
 }
 
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -86,6 +86,8 @@
 	routes    *catalog.Routes
 	host      CheckIn
 	known     bool
+	// presumed says that the host was found healthy but has not checked in.
+	presumed  bool
 	gone      bool
 	leaving   bool
 	drainedAt time.Time
@@ -174,16 +176,17 @@
 // current; an older one must not be acted on.
 func (ga *Gate) CheckIn(now time.Time, ci CheckIn) ([]Action, bool) {
 	ga.out = ga.out[:0]
-	if ga.known && !ga.supersedes(ci) {
+	if ga.known && !ga.presumed && !ga.supersedes(ci) {
 		return ga.out, false
 	}
-	if ga.known && !ci.Born.Equal(ga.host.Born) {
+	if ga.known && !ga.presumed && !ci.Born.Equal(ga.host.Born) {
 		ga.restarted()
 	}
 	if ci.Draining && (!ga.host.Draining || !ga.known) {
 		ga.drainedAt = now
 	}
 	ga.known = true
+	ga.presumed = false
 	ga.gone = false
 	ga.host = ci
 	ga.sign(now)
@@ -191,6 +194,24 @@
 	return ga.out, true
 }
 
+// presumedSlots is taken for the slots of a host that has not checked in.
+const presumedSlots = 2
+
+// Presume takes that the host of the service answered as healthy and not leaving
+// before it has checked in. It lets an agent that was restarted serve at once.
+func (ga *Gate) Presume(now time.Time, service string) []Action {
+	ga.out = ga.out[:0]
+	if ga.known || ga.gone {
+		return ga.out
+	}
+	ga.known = true
+	ga.presumed = true
+	ga.host = CheckIn{Service: service, Slots: presumedSlots}
+	ga.sign(now)
+	ga.announce(now)
+	return ga.out
+}
+
 // supersedes reports whether the check-in is newer than the last one.
 func (ga *Gate) supersedes(ci CheckIn) bool {
 	if !ci.Born.Equal(ga.host.Born) {
@@ -210,7 +231,7 @@
 // current.
 func (ga *Gate) CheckOut(now time.Time, name string) ([]Action, bool) {
 	ga.out = ga.out[:0]
-	if ga.known && name != ga.host.Name {
+	if ga.known && !ga.presumed && name != ga.host.Name {
 		return ga.out, false
 	}
 	ga.gone = true
@@ -248,6 +269,9 @@
 	Packet
 	From    netip.AddrPort
 	Urgency Urgency
+	// Started is when the caller sent the first copy of an opening, by the
+	// receiver's clock.
+	Started time.Time
 	// Tag is the number of the service that an opening is for.
 	Tag uint32
 	// Version is that of the balancer's routes.
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"net/netip"
+	"slices"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -22,10 +23,12 @@
 	maxAttempts = 6
 	// maxOffers is the number of hosts that may decline an opening as busy
 	// before the next one is asked to take it.
-	maxOffers = 3
+	maxOffers = 2
 	// freshCopy is the age from which an opening packet of a known flow is taken
 	// for a new flow of the same caller's address.
 	freshCopy = time.Second
+	// startupTime is how long after its start a balancer may not know all hosts.
+	startupTime = 3 * time.Second
 )
 
 // phase is how far a balancer has come with a flow.
@@ -36,6 +39,8 @@
 	phaseLocated
 	phaseSearching
 	phaseLost
+	// phaseParked is an opening that waits for a host to appear.
+	phaseParked
 )
 
 // passage is what a balancer knows of one flow.
@@ -61,30 +66,47 @@
 // Placer decides for a balancer. It is not safe for concurrent use.
 type Placer struct {
 	domain string
-	routes *catalog.Routes
-	agents map[netip.AddrPort]*agent
-	pools  map[string][]*agent
-	flows  recent[*passage]
-	due    schedule[*passage]
-	pings  schedule[*agent]
-	out    []Action
+	// patience is when a caller gives up an opening without an answer.
+	patience time.Duration
+	// startup is until when hosts may be there that are not known yet.
+	startup time.Time
+	routes  *catalog.Routes
+	parking parking
+	agents  map[netip.AddrPort]*agent
+	pools   map[string][]*agent
+	flows   recent[*passage]
+	due     schedule[*passage]
+	pings   schedule[*agent]
+	out     []Action
 }
 
-// NewPlacer returns the placer of a balancer in the failure domain.
-func NewPlacer(domain string) *Placer {
+// PlacerSettings are the settings of a Placer.
+type PlacerSettings struct {
+	// Domain is the failure domain of the balancer.
+	Domain string
+	// OpeningTimeout is when a caller gives up an opening without an answer.
+	OpeningTimeout time.Duration
+}
+
+// NewPlacer returns the placer of a balancer that starts now.
+func NewPlacer(now time.Time, st PlacerSettings) *Placer {
 	return &Placer{
-		domain: domain,
-		agents: make(map[netip.AddrPort]*agent),
-		pools:  make(map[string][]*agent),
-		flows:  newRecent[*passage](),
+		domain: st.Domain, patience: st.OpeningTimeout, startup: now.Add(startupTime),
+		agents:  make(map[netip.AddrPort]*agent),
+		pools:   make(map[string][]*agent),
+		flows:   newRecent[*passage](),
+		parking: newParking(st.OpeningTimeout),
 	}
 }
 
 // SetRoutes takes a newer configuration. An older one is ignored.
-func (pl *Placer) SetRoutes(ro *catalog.Routes) {
+func (pl *Placer) SetRoutes(now time.Time, ro *catalog.Routes) []Action {
+	pl.out = pl.out[:0]
 	if pl.routes == nil || ro.Version > pl.routes.Version {
 		pl.routes = ro
+		pl.unpark(now)
 	}
+	return pl.out
 }
 
 // Ready reports whether the placer can serve callers: it has routes and at
@@ -115,6 +137,9 @@
 			first = at
 		}
 	}
+	if at := pl.parking.retry; !at.IsZero() && (first.IsZero() || at.Before(first)) {
+		first = at
+	}
 	return first
 }
 
@@ -133,6 +158,7 @@
 			pl.flows.remove(pa.flow)
 		}
 	}
+	pl.unpark(now)
 	for len(pl.pings.items) > 0 && !now.Before(pl.pings.items[0].nextPing) {
 		pl.ping(now, pl.pings.items[0])
 	}
@@ -179,7 +205,7 @@
 		pl.forget(pa)
 		pa = nil
 	}
-	if pa != nil && pa.phase == phaseOpening {
+	if pa != nil && (pa.phase == phaseOpening || pa.phase == phaseParked) {
 		// The first copy is still on its way to a host.
 		return
 	}
@@ -191,7 +217,7 @@
 		return
 	}
 	service, re := pl.serviceOf(pk.Flow)
-	if re != ReasonNone {
+	if re != ReasonNone && pl.routes != nil {
 		pl.refuse(pk.Flow, pk.Copy, re)
 		return
 	}
@@ -203,6 +229,10 @@
 		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, at: -1,
 	}
 	pl.flows.put(now, pk.Flow, pa)
+	if pl.routes == nil {
+		pl.park(now, pa)
+		return
+	}
 	pl.place(now, pa)
 }
 
@@ -222,25 +252,22 @@
 	return service, ReasonNone
 }
 
-// place sends the opening packet to the best host that wasn't tried.
+// place sends the opening packet to the best host that wasn't tried: as an offer
+// while that one seems to have a free slot, else to wait at its agent.
 func (pl *Placer) place(now time.Time, pa *passage) {
-	if len(pa.tried) >= maxAttempts {
-		pl.giveUp(pa)
-		return
-	}
-	ur := UrgencyOffer
-	if pa.offers >= maxOffers {
-		ur = UrgencyTake
-	}
-	ag := pl.choose(now, pa, ur)
-	if ag == nil && ur == UrgencyOffer {
-		ur = UrgencyTake
-		ag = pl.choose(now, pa, ur)
-	}
-	if ag == nil {
-		pl.giveUp(pa)
-		return
+	ag := pl.choose(now, pa)
+	switch {
+	case ag == nil || len(pa.tried) >= maxAttempts:
+		pl.giveUp(now, pa)
+	case pa.offers < maxOffers && ag.takes() && ag.estimate(now) < float64(ag.report.Slots):
+		pl.try(now, pa, ag, UrgencyOffer)
+	default:
+		pl.try(now, pa, ag, UrgencyTake)
 	}
+}
+
+// try sends the opening packet to the agent, which was chosen for it.
+func (pl *Placer) try(now time.Time, pa *passage, ag *agent, ur Urgency) {
 	pa.tried = append(pa.tried, ag.address)
 	pl.openAt(now, pa, ag, ur)
 }
@@ -251,22 +278,11 @@
 	ag.sent++
 	pl.carry(ag, pa.flow, pa.opening, Action{
 		Urgency: ur, Tag: serviceTag(pa.service), Opening: true, Attempt: len(pa.tried),
-		InProgress: ag.estimate(now), Reported: ag.reported,
+		InProgress: ag.estimate(now), Reported: ag.reported, Started: pa.started(),
 	})
 	pl.wait(pa, now.Add(ConfirmTimeout))
 }
 
-// giveUp refuses an opening that no host takes. After an attempt whose outcome
-// is not known the caller's next copy is left to try again.
-func (pl *Placer) giveUp(pa *passage) {
-	pl.forget(pa)
-	if pa.unconfirmed {
-		pl.drop(pa.flow, ReasonUnconfirmed, true)
-		return
-	}
-	pl.refuse(pa.flow, pa.copy, ReasonNoHost)
-}
-
 // unconfirmed handles an opening that no agent has confirmed in time.
 func (pl *Placer) unconfirmed(now time.Time, pa *passage) {
 	pa.unconfirmed = true
@@ -318,11 +334,16 @@
 	if !ok || pa.phase != phaseOpening || pa.agent != ag || ag == nil {
 		return pl.out
 	}
-	if why == ReasonBusy {
+	pl.cancel(pa)
+	switch why {
+	case ReasonBusy:
 		pa.offers++
+		pl.place(now, pa)
+	case ReasonFull:
+		pl.park(now, pa)
+	default:
+		pl.place(now, pa)
 	}
-	pl.cancel(pa)
-	pl.place(now, pa)
 	return pl.out
 }
 
@@ -364,18 +385,20 @@
 	}
 }
 
+// started returns when the caller sent the first copy of its opening.
+func (pa *passage) started() time.Time { return pa.opened.Add(-copyAge(pa.copy)) }
+
 func (pa *passage) due() time.Time { return pa.deadline }
 
 func (pa *passage) place(at int) { pa.at = at }
 
-// hasTried reports whether the opening went to the agent before.
-func (pa *passage) hasTried(address netip.AddrPort) bool {
-	for _, tried := range pa.tried {
-		if tried == address {
-			return true
-		}
+// hasTried reports whether the opening went to the agent before and must not
+// again. One that declined offers as busy may be asked to take it.
+func (pa *passage) hasTried(ag *agent) bool {
+	if pa.offers == maxOffers && !pa.unconfirmed && ag.takes() {
+		return false
 	}
-	return false
+	return slices.Contains(pa.tried, ag.address)
 }
 
 // takesNewFlows reports whether a host in the state takes new flows.
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -21,9 +21,8 @@
 type queued struct {
 	offer Offer
 	data  []byte
-	// started is when the caller sent its first copy, goal when it should have
-	// its answer and expires when it gives the opening up.
-	started  time.Time
+	// goal is when the caller should have its answer and expires when it gives
+	// the opening up.
 	goal     time.Time
 	expires  time.Time
 	priority uint8
@@ -55,13 +54,12 @@
 // those that go before it and with so many in progress at once, until its caller
 // gives up.
 func (qu *queue) add(now time.Time, of Offer, data []byte, ro catalog.Route, limit int) bool {
-	started := now.Add(-copyAge(of.Copy))
 	it := queued{
-		offer: of, data: append([]byte(nil), data...), started: started,
-		expires: started.Add(qu.patient), priority: ro.Priority,
+		offer: of, data: append([]byte(nil), data...),
+		expires: of.Started.Add(qu.patient), priority: ro.Priority,
 	}
 	if ro.Goal > 0 {
-		it.goal = started.Add(ro.Goal)
+		it.goal = of.Started.Add(ro.Goal)
 	}
 	wait := qu.service * time.Duration(qu.ahead(now, &it)+1) / time.Duration(limit)
 	if len(qu.items) >= maxQueued || now.Add(wait).After(it.expires) {
@@ -108,7 +106,7 @@
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	return a.started.After(b.started)
+	return a.offer.Started.After(b.offer.Started)
 }
 
 // next removes and returns the opening whose turn it is.
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -275,7 +275,7 @@
 // greeted handles a greeting.
 func (vi *View) greeted(now time.Time, gr *Greeting) {
 	from := gr.Record.Address
-	_, known := vi.members[from]
+	_, removed := vi.removed[from]
 	vi.learn(now, gr.Record, true)
 	me, ok := vi.members[from]
 	if !ok {
@@ -291,7 +291,7 @@
 	differs := gr.Digest != vi.digest()
 	if gr.Answer {
 		answer := vi.greeting(false, differs)
-		answer.Forgotten = !known && !gr.Share
+		answer.Forgotten = removed
 		vi.send(from, Message{Greeting: answer})
 	}
 	if gr.Share || gr.Answer && differs {
--- a/internal/protocol/waybill/routes.go
+++ b/internal/protocol/waybill/routes.go
@@ -34,11 +34,23 @@
 	IdleTimeout time.Duration
 	Services    []string
 	Routes      []route
+	HealthPaths map[string]string
+}
+
+// sorted encodes maps in the order of their keys.
+var sorted = mustEncMode(cbor.EncOptions{Sort: cbor.SortBytewiseLexical})
+
+func mustEncMode(op cbor.EncOptions) cbor.EncMode {
+	em, err := op.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return em
 }
 
 // EncodeRoutes returns the routes in CBOR; equal routes give equal bytes.
 func EncodeRoutes(ro *catalog.Routes) ([]byte, error) {
-	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout}
+	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout, HealthPaths: ro.HealthPaths}
 	places := make(map[string]uint32)
 	addresses := make([]netip.AddrPort, 0, len(ro.Addresses))
 	for address := range ro.Addresses {
@@ -59,7 +71,7 @@
 		}
 		en.Routes = append(en.Routes, added)
 	}
-	data, err := cbor.Marshal(en)
+	data, err := sorted.Marshal(en)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode routes")
 	}
@@ -73,7 +85,7 @@
 		return nil, errors.Wrap(err, "decode routes")
 	}
 	ro := &catalog.Routes{
-		Version: en.Version, IdleTimeout: en.IdleTimeout,
+		Version: en.Version, IdleTimeout: en.IdleTimeout, HealthPaths: en.HealthPaths,
 		Addresses: make(map[netip.AddrPort]catalog.Route, len(en.Routes)),
 	}
 	for _, found := range en.Routes {
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -15,6 +15,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -52,7 +53,7 @@
 const (
 	flowLength   = 2 * (16 + 2)
 	reportLength = 1 + 2 + 2 + 8
-	carryLength  = 1 + 1 + 4 + 8
+	carryLength  = 1 + 1 + 4 + 8 + 2
 )
 
 // KindOf returns the kind of a message, zero if it is empty.
@@ -70,13 +71,21 @@
 	Tag uint32
 	// Version is that of the balancer's routes.
 	Version uint64
+	// Waited is how long ago the caller sent the first copy of an opening, in
+	// whole milliseconds and at most MaxWaited.
+	Waited time.Duration
 }
 
+// MaxWaited is the longest time that Carry tells.
+const MaxWaited = (1<<16 - 1) * time.Millisecond
+
 // AppendCarry appends a KindCarry message.
 func AppendCarry(buffer []byte, ca Carry, packet []byte) []byte {
 	buffer = append(buffer, byte(KindCarry), byte(ca.Urgency))
 	buffer = binary.BigEndian.AppendUint32(buffer, ca.Tag)
 	buffer = binary.BigEndian.AppendUint64(buffer, ca.Version)
+	waited := max(min(ca.Waited, MaxWaited), 0)
+	buffer = binary.BigEndian.AppendUint16(buffer, uint16(waited.Milliseconds()))
 	return append(buffer, packet...)
 }
 
@@ -89,6 +98,7 @@
 		Urgency: carriage.Urgency(datagram[1]),
 		Tag:     binary.BigEndian.Uint32(datagram[2:]),
 		Version: binary.BigEndian.Uint64(datagram[6:]),
+		Waited:  time.Duration(binary.BigEndian.Uint16(datagram[14:])) * time.Millisecond,
 	}, datagram[carryLength:], nil
 }
 
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -12,6 +12,8 @@
 	Version uint64
 	// Addresses are the addresses that callers may open flows to.
 	Addresses map[netip.AddrPort]Route
+	// HealthPaths are the paths at which the hosts of a service tell their health.
+	HealthPaths map[string]string
 	// IdleTimeout is how long a flow may be silent before it may be forgotten.
 	IdleTimeout time.Duration
 }
--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -45,6 +45,10 @@
 	Control netip.AddrPort `need:"yes" listen:"tcp"`
 	// Backend is the address at which the host takes packets.
 	Backend netip.AddrPort `need:"yes"`
+	// Service is the service of the host, as the instance was set up.
+	Service string `need:"yes"`
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// HeartbeatInterval is the time between two check-ins of the host.
 	HeartbeatInterval Duration `min:"10ms" max:"1m"`
 	// FlowLifetime is how long a flow may last.
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -43,6 +44,8 @@
 	outbound *net.UDPConn
 	gate     *carriage.Gate
 	leaving  bool
+	// routed tells that routes have come.
+	routed chan struct{}
 }
 
 // OpenAgent opens the sockets of an agent.
@@ -56,7 +59,8 @@
 		no.close()
 		return nil, err
 	}
-	ag := &Agent{node: no, config: co, outbound: outbound}
+	no.firstStart = co.Settings.FirstStart
+	ag := &Agent{node: no, config: co, outbound: outbound, routed: make(chan struct{}, 1)}
 	ag.gate = carriage.NewGate(no.started, carriage.GateSettings{
 		HeartbeatInterval: time.Duration(co.Settings.HeartbeatInterval),
 		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
@@ -70,7 +74,10 @@
 	no.deadline = ag.gate.Deadline
 	no.message = ag.takeWaybill
 	no.changed = func(time.Time) {}
-	no.rerouted = func(_ time.Time, ro *catalog.Routes) { ag.gate.SetRoutes(ro) }
+	no.rerouted = func(_ time.Time, ro *catalog.Routes) {
+		ag.gate.SetRoutes(ro)
+		signal(ag.routed)
+	}
 	return ag, nil
 }
 
@@ -84,6 +91,9 @@
 	gr.Go(func() error { return read(ag.outbound, ag.takeHostPacket) })
 	gr.Go(func() error { return serve(work, ag.config.Settings.Control, ag.config.Control(ag)) })
 	gr.Go(func() error { return serve(work, ag.settings.Ready, ag.config.Ready(ag.Ready)) })
+	if !ag.config.Settings.FirstStart {
+		gr.Go(func() error { return ag.presume(work) })
+	}
 	gr.Go(func() error {
 		defer cancel()
 		ag.stop(ctx, work)
@@ -121,6 +131,58 @@
 	}
 }
 
+// healthTimeout bounds the question after the host's health.
+const healthTimeout = 500 * time.Millisecond
+
+// presume asks the host for its health once, as soon as the path is known, so
+// that an agent that was restarted need not wait for the next check-in.
+func (ag *Agent) presume(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-ag.routed:
+	}
+	service := ag.config.Settings.Service
+	ag.mu.Lock()
+	path, known := ag.routes.HealthPaths[service], ag.gate.Service() != ""
+	ag.mu.Unlock()
+	if path == "" || known {
+		return nil
+	}
+	err := ag.askHealth(ctx, path)
+	klog.InfoS("Host asked for its health", "service", service, "healthy", err == nil, "err", err)
+	if err != nil {
+		return nil
+	}
+	ag.mu.Lock()
+	defer ag.mu.Unlock()
+	now := time.Now()
+	ag.act(now, ag.gate.Presume(now, service))
+	ag.schedule(now)
+	return nil
+}
+
+// askHealth returns nil if the host says that it is healthy and not leaving.
+func (ag *Agent) askHealth(ctx context.Context, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	backend := ag.config.Settings.Backend
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+backend.String()+path, http.NoBody)
+	if err != nil {
+		return errors.Wrapf(err, "ask host %s for its health", backend)
+	}
+	rq.Close = true
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return errors.Wrapf(err, "ask host %s for its health", backend)
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return errors.Errorf("ask host %s for its health: status %d", backend, rs.StatusCode)
+	}
+	return nil
+}
+
 // Ready reports whether the host takes new flows.
 func (ag *Agent) Ready() bool {
 	ag.mu.Lock()
@@ -213,7 +275,9 @@
 	}
 	klog.V(2).InfoS("Caller packet", "flow", pk.Flow, "balancer", from, "opening", pk.Opening, "copy", pk.Copy,
 		"finishes", pk.Finishes, "resets", pk.Resets, "urgency", ca.Urgency, "bytes", len(packet))
-	of := carriage.Offer{Packet: pk, From: from, Urgency: ca.Urgency, Tag: ca.Tag, Version: ca.Version}
+	of := carriage.Offer{
+		Packet: pk, From: from, Urgency: ca.Urgency, Started: now.Add(-ca.Waited), Tag: ca.Tag, Version: ca.Version,
+	}
 	ag.act(now, ag.gate.FromBalancer(now, of, packet))
 	if ca.Version > ag.view.Version() {
 		ag.perform(now, ag.view.Noticed(from, ca.Version))
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -36,6 +36,8 @@
 	Format   Format
 	Store    Store
 	Board    *gauge.Board
+	// OpeningTimeout is when a caller gives up an opening without an answer.
+	OpeningTimeout time.Duration
 	// Ready serves the readiness that the function reports.
 	Ready func(ready func() bool) http.Handler
 }
@@ -62,12 +64,14 @@
 		no.close()
 		return nil, err
 	}
-	ba := &Balancer{node: no, config: co, callers: callers, placer: carriage.NewPlacer(co.Settings.Domain)}
+	ba := &Balancer{node: no, config: co, callers: callers, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
+		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout,
+	})}
 	no.tick = func(now time.Time) { ba.act(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
 	no.message = ba.takeWaybill
 	no.changed = ba.setAgents
-	no.rerouted = func(_ time.Time, ro *catalog.Routes) { ba.placer.SetRoutes(ro) }
+	no.rerouted = func(now time.Time, ro *catalog.Routes) { ba.act(now, ba.placer.SetRoutes(now, ro)) }
 	no.view.SetSelf(no.started, register.StateReady, "", 0)
 	return ba, nil
 }
@@ -139,7 +143,7 @@
 			Address: re.Address, Service: re.Service, Domain: re.Domain, State: re.State, Slots: re.Slots,
 		})
 	}
-	ba.placer.SetAgents(now, list)
+	ba.act(now, ba.placer.SetAgents(now, list))
 	ba.board.Set("Agents", int64(len(list)))
 }
 
@@ -222,6 +226,9 @@
 		case carriage.KindDrop:
 			ba.board.Count("Dropped."+ac.Reason.String(), 1)
 			klog.InfoS("Packet dropped", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening)
+		case carriage.KindPark:
+			ba.board.Count("Parked", 1)
+			klog.InfoS("Opening waits for a host", "flow", ac.Flow, "version", ba.view.Version())
 		case carriage.KindFind:
 			ba.board.Count("Searches", 1)
 			ba.scratch = waybill.AppendFind(ba.scratch[:0], ac.Flow, ac.Acknowledged)
@@ -240,6 +247,9 @@
 
 func (ba *Balancer) carry(now time.Time, ac *carriage.Action) {
 	ca := waybill.Carry{Urgency: ac.Urgency, Tag: ac.Tag, Version: ba.view.Version()}
+	if ac.Opening {
+		ca.Waited = now.Sub(ac.Started)
+	}
 	ba.scratch = waybill.AppendCarry(ba.scratch[:0], ca, ac.Data)
 	ba.send(ac.To, ba.scratch)
 	if !ac.Opening {
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -28,6 +28,8 @@
 	// watcherCheck is the time between two looks of a balancer that doesn't
 	// watch whether it has to.
 	watcherCheck = time.Second
+	// seedPatience is how long an agent waits for an answer of the seeds.
+	seedPatience = 500 * time.Millisecond
 	// cleanPause is the least time between two looks for stale entries.
 	cleanPause = 20 * time.Second
 )
@@ -57,10 +59,15 @@
 	}
 }
 
-// join greets the seeds, finds the other members in the store, enters itself
-// and enters itself again whenever its entry has vanished.
+// join greets the seeds and finds the other members in the store. A balancer
+// enters itself there, and again whenever its entry has vanished. An agent is
+// found by its greetings; at the first start of the whole system it reads the
+// store only if no seed answers.
 func (no *node) join(ctx context.Context) error {
 	no.greet(nil)
+	if no.firstStart && no.role() == members.RoleAgent && (!sleep(ctx, seedPatience) || no.joined()) {
+		return nil
+	}
 	var bo backoff
 	for {
 		err := no.register(ctx)
@@ -68,7 +75,7 @@
 			break
 		}
 		klog.ErrorS(err, "Store not reached; members found by seeds only", "failures", bo.failures)
-		if !bo.wait(ctx, lastBackoff) {
+		if !bo.wait(ctx, lastBackoff) || no.role() == members.RoleAgent && no.joined() {
 			return nil
 		}
 	}
@@ -77,7 +84,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-no.forgotten:
-			no.reenter(ctx)
+			if no.role() == members.RoleBalancer {
+				no.reenter(ctx)
+			}
 		}
 	}
 }
@@ -118,12 +127,21 @@
 	}
 	klog.InfoS("Members found in the store", "count", len(found), "self", present)
 	no.greet(found)
-	if present {
+	if present || own.Role == members.RoleAgent {
 		return nil
 	}
 	return no.enter(ctx)
 }
 
+func (no *node) role() members.Role { return no.self().Role }
+
+// joined reports whether another member has answered.
+func (no *node) joined() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.view.Joined()
+}
+
 func (no *node) entries(ctx context.Context) ([]Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -38,6 +38,8 @@
 	board    *gauge.Board
 	peers    *net.UDPConn
 	started  time.Time
+	// firstStart says that the whole system starts for the first time.
+	firstStart bool
 
 	// mu guards everything below and the core of the role.
 	mu      sync.Mutex
