--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -1,6 +1,8 @@
 package carriage
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -105,7 +107,8 @@
 	if pl.parking.retry.IsZero() {
 		return
 	}
-	for service, qu := range pl.parking.queues {
+	for _, service := range slices.Sorted(maps.Keys(pl.parking.queues)) {
+		qu := pl.parking.queues[service]
 		for _, it := range qu.expired(now) {
 			pl.expire(now, it.offer.Flow)
 		}
@@ -143,7 +146,12 @@
 		pl.refuseOpening(pa, re)
 		return
 	}
-	pa.service = service
+	if pa.service != service || !pl.hasRoom(now, service) {
+		// The routes were unknown when the opening came.
+		pa.service = service
+		pl.park(now, pa)
+		return
+	}
 	pa.phase = phaseOpening
 	pa.tried = pa.tried[:0]
 	pa.offers = maxOffers
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -340,7 +340,7 @@
 		pa.offers++
 		pl.place(now, pa)
 	case ReasonFull:
-		pl.park(now, pa)
+		pl.refuseOpening(pa, why)
 	default:
 		pl.place(now, pa)
 	}
