feat: a balancer that is cut off refuses at once and leaves the rotation

Built: when all agents of a service are silent the other balancers are asked; if most answer the hosts are gone and openings wait, else the balancer is cut off and refuses, so that the caller's next try takes another way. Silent agents get no openings. Agents enter themselves in the store again: without that a fleet whose balancers were all killed waited a second for the agents' greetings.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -22,6 +22,8 @@
 	KindFind
 	// KindPing asks the agent To for a report.
 	KindPing
+	// KindAskOthers asks the other balancers for a sign of life.
+	KindAskOthers
 	// KindSuspect notes that the agent To is silent.
 	KindSuspect
 	// KindTrust notes that the silent agent To has answered.
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -131,26 +131,31 @@
 	start := int(pa.flow.Hash() % uint64(len(pool)))
 	for i := range pool {
 		ag := pool[(start+i)%len(pool)]
-		if pa.hasTried(ag) || ag.report.State == register.StateGone {
+		if pa.hasTried(ag) || !ag.mayTake() {
 			continue
 		}
-		if cost := ag.cost(now, pl.domain) + ag.doubt(); cost < least {
+		if cost := ag.cost(now, pl.domain) + ag.reluctance(); cost < least {
 			best, least = ag, cost
 		}
 	}
 	return best
 }
 
-// doubtful is the cost of a host that is not known to take new flows: it comes
-// after all others.
-const doubtful = 1000
+// mayTake reports whether an opening may be sent to the agent: also to one whose
+// host is leaving, which takes a flow for a while if no other host does.
+func (ag *agent) mayTake() bool {
+	return ag.takes() || !ag.suspect && ag.report.State == register.StateDraining
+}
+
+// lastResort is the cost of a host that is leaving: it comes after all others.
+const lastResort = 1000
 
-// doubt is the cost of what is unknown of the host.
-func (ag *agent) doubt() float64 {
+// reluctance is the cost of a host that should not take new flows.
+func (ag *agent) reluctance() float64 {
 	if ag.takes() {
 		return 0
 	}
-	return doubtful
+	return lastResort
 }
 
 // heard takes a sign of life of an agent.
@@ -162,13 +167,19 @@
 	ag.report = re
 	ag.reported = now
 	ag.sent = 0
+	pl.trust(now, ag)
+	return ag
+}
+
+// trust takes an agent that has given a sign of life back into the choice.
+func (pl *Placer) trust(now time.Time, ag *agent) {
 	if ag.suspect {
 		ag.suspect = false
+		pl.doubted = time.Time{}
 		pl.unschedule(ag)
-		pl.out = append(pl.out, Action{Kind: KindTrust, To: from, Attempt: ag.pings})
+		pl.out = append(pl.out, Action{Kind: KindTrust, To: ag.address, Attempt: ag.pings})
 	}
 	pl.unpark(now)
-	return ag
 }
 
 // suspect takes an agent that did not confirm out of the choice and pings it.
@@ -188,6 +199,9 @@
 // ping asks a silent agent for a sign of life, less and less often.
 func (pl *Placer) ping(now time.Time, ag *agent) {
 	pl.out = append(pl.out, Action{Kind: KindPing, To: ag.address})
+	if pl.silent(ag.service) {
+		pl.doubt(now)
+	}
 	pause := min(firstPing<<min(ag.pings, 8), lastPing)
 	ag.pings++
 	ag.nextPing = now.Add(pause)
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -230,3 +230,33 @@
 	}
 	return kept
 }
+
+func TestIsolatedBalancer(t *testing.T) {
+	Convey("A balancer that is cut off refuses at once and is not ready", t, func() {
+		wo := newWorld(10, 2, 4)
+		wo.runUntil(began.Add(startupTime + time.Second))
+		wo.cut = wo.balancers[0]
+		wo.rotation = []int{0}
+		wo.load(100, wo.now.Add(2*time.Second))
+		wo.runUntil(wo.now.Add(400 * time.Millisecond))
+		So(wo.balancers[0].placer.Ready(wo.now), ShouldBeFalse)
+		before := wo.refused
+		wo.runUntil(wo.now.Add(500 * time.Millisecond))
+		So(wo.refused-before, ShouldBeGreaterThan, 30)
+		wo.cut = nil
+		wo.runUntil(wo.now.Add(1500 * time.Millisecond))
+		So(wo.balancers[0].placer.Ready(wo.now), ShouldBeTrue)
+		So(wo.resetsOfOpen+wo.wrong, ShouldEqual, 0)
+	})
+	Convey("A balancer that hears others keeps openings while all agents are away", t, func() {
+		wo := newWorld(11, 2, 4)
+		wo.runUntil(began.Add(startupTime + time.Second))
+		for i := range wo.hosts {
+			wo.stopAgent(i)
+		}
+		wo.load(50, wo.now.Add(time.Second))
+		wo.runUntil(wo.now.Add(800 * time.Millisecond))
+		So(wo.refused, ShouldEqual, 0)
+		So(wo.balancers[0].placer.Ready(wo.now), ShouldBeTrue)
+	})
+}
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -98,6 +98,8 @@
 	ReasonForged
 	// ReasonFull says that a table has no room.
 	ReasonFull
+	// ReasonIsolated says that the balancer is cut off from all processes.
+	ReasonIsolated
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -105,7 +107,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"None", "Busy", "Draining", "HostUnknown", "WrongService", "NoRoute", "HostRefused",
-	"NotHeld", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full",
+	"NotHeld", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated",
 }
 
 // String returns the reason's name.
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -72,12 +72,13 @@
 	startup time.Time
 	routes  *catalog.Routes
 	parking parking
-	agents  map[netip.AddrPort]*agent
-	pools   map[string][]*agent
-	flows   recent[*passage]
-	due     schedule[*passage]
-	pings   schedule[*agent]
-	out     []Action
+	isolation
+	agents map[netip.AddrPort]*agent
+	pools  map[string][]*agent
+	flows  recent[*passage]
+	due    schedule[*passage]
+	pings  schedule[*agent]
+	out    []Action
 }
 
 // PlacerSettings are the settings of a Placer.
@@ -109,18 +110,10 @@
 	return pl.out
 }
 
-// Ready reports whether the placer can serve callers: it has routes and at
-// least one agent that is not silent.
-func (pl *Placer) Ready() bool {
-	if pl.routes == nil {
-		return false
-	}
-	for _, ag := range pl.agents {
-		if !ag.suspect {
-			return true
-		}
-	}
-	return false
+// Ready reports whether the placer can serve callers: it has routes, knows
+// agents and is not cut off.
+func (pl *Placer) Ready(now time.Time) bool {
+	return pl.routes != nil && len(pl.agents) > 0 && !pl.isolated(now)
 }
 
 // Flows returns the number of flows that are remembered.
@@ -229,11 +222,14 @@
 		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, at: -1,
 	}
 	pl.flows.put(now, pk.Flow, pa)
-	if pl.routes == nil {
+	switch {
+	case pl.routes == nil:
 		pl.park(now, pa)
-		return
+	case pl.isolated(now):
+		pl.refuseOpening(pa, ReasonIsolated)
+	default:
+		pl.place(now, pa)
 	}
-	pl.place(now, pa)
 }
 
 // serviceOf returns the service that a new flow goes to.
--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -60,6 +60,8 @@
 	callers   map[Flow]*worldCaller
 	routes    *catalog.Routes
 	next      uint32
+	// cut is a balancer that reaches no other process, nil for none.
+	cut *worldBalancer
 
 	// What callers and hosts saw.
 	served, refused, failed int
@@ -189,6 +191,7 @@
 			list = append(list, Agent{Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots})
 		}
 	}
+	ba.placer.SetOthers(len(wo.balancers) - 1)
 	wo.performBalancer(ba, ba.placer.SetAgents(wo.now, list))
 }
 
@@ -260,6 +263,9 @@
 	}
 	wo.armAgent(ho)
 	wo.announce()
+	for _, ba := range wo.balancers {
+		wo.toBalancer(ba.address, func(pl *Placer) []Action { return pl.Heard(wo.now, ho.address) })
+	}
 }
 
 func (wo *world) stopAgent(i int) { wo.hosts[i].agent = false }
@@ -301,11 +307,16 @@
 func (wo *world) performBalancer(ba *worldBalancer, list []Action) {
 	for _, ac := range slices.Clone(list) {
 		data := slices.Clone(ac.Data)
+		if ba == wo.cut && ac.Kind != KindReset {
+			continue
+		}
 		switch ac.Kind {
 		case KindCarry:
 			wo.carry(ba, ac, data)
 		case KindReset:
 			wo.send(func() { wo.resetCaller(ac.Flow) })
+		case KindAskOthers:
+			wo.askOthers(ba)
 		case KindFind:
 			wo.send(func() {
 				if ho := wo.hostAt(ac.To); ho.agent {
@@ -324,6 +335,15 @@
 	wo.armBalancer(ba)
 }
 
+// askOthers lets the other balancers give a sign of life.
+func (wo *world) askOthers(ba *worldBalancer) {
+	for _, other := range wo.balancers {
+		if other != ba && other.live && other != wo.cut {
+			wo.send(func() { wo.performBalancer(ba, ba.placer.Heard(wo.now, other.address)) })
+		}
+	}
+}
+
 // head returns the packet that the world encoded, as the sender had written it.
 func (wo *world) head(ac Action, data []byte) Packet {
 	pk := Packet{Flow: ac.Flow, Opening: ac.Opening}
@@ -347,7 +367,7 @@
 func (wo *world) toBalancer(address netip.AddrPort, take func(pl *Placer) []Action) {
 	wo.send(func() {
 		for _, ba := range wo.balancers {
-			if ba.address == address && ba.live {
+			if ba.address == address && ba.live && ba != wo.cut {
 				wo.performBalancer(ba, take(ba.placer))
 			}
 		}
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -28,6 +28,8 @@
 	rememberRemoved = time.Minute
 	// repeatAfter is when a changed record is sent again, as datagrams are lost.
 	repeatAfter = 80 * time.Millisecond
+	// askPause is the least time between two questions to one balancer.
+	askPause = 40 * time.Millisecond
 	// recordsInPage and bytesInPage keep a page below one datagram.
 	recordsInPage = 10
 	bytesInPage   = 1000
@@ -222,6 +224,18 @@
 		Action{Kind: KindChanged})
 }
 
+// AskBalancers asks the other balancers for a sign of life.
+func (vi *View) AskBalancers(now time.Time) []Action {
+	vi.out = vi.out[:0]
+	for _, address := range vi.addresses() {
+		me := vi.members[address]
+		if me.record.Role == RoleBalancer && now.Sub(me.greeted) >= askPause {
+			vi.greet(now, me, false)
+		}
+	}
+	return vi.out
+}
+
 func (vi *View) greet(now time.Time, me *member, share bool) {
 	me.greeted = now
 	me.unanswered++
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -75,6 +75,7 @@
 	no.deadline = ag.gate.Deadline
 	no.message = ag.takeWaybill
 	no.changed = func(time.Time) {}
+	no.heard = func(time.Time, netip.AddrPort) {}
 	no.rerouted = func(_ time.Time, ro *catalog.Routes) {
 		ag.gate.SetRoutes(ro)
 		signal(ag.routed)
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -70,6 +70,7 @@
 	no.tick = func(now time.Time) { ba.act(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
 	no.message = ba.takeWaybill
+	no.heard = func(now time.Time, from netip.AddrPort) { ba.act(now, ba.placer.Heard(now, from)) }
 	no.changed = ba.setAgents
 	no.rerouted = func(now time.Time, ro *catalog.Routes) { ba.act(now, ba.placer.SetRoutes(now, ro)) }
 	no.view.SetSelf(no.started, register.StateReady, "", 0)
@@ -129,20 +130,23 @@
 func (ba *Balancer) Ready() bool {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	return !ba.leaving && ba.placer.Ready()
+	return !ba.leaving && ba.placer.Ready(time.Now())
 }
 
 // setAgents hands the agents of the view to the placer.
 func (ba *Balancer) setAgents(now time.Time) {
 	var list []carriage.Agent
+	others := 0
 	for _, re := range ba.view.Records() {
 		if re.Role != members.RoleAgent {
+			others++
 			continue
 		}
 		list = append(list, carriage.Agent{
 			Address: re.Address, Service: re.Service, Domain: re.Domain, State: re.State, Slots: re.Slots,
 		})
 	}
+	ba.placer.SetOthers(others)
 	ba.act(now, ba.placer.SetAgents(now, list))
 	ba.board.Set("Agents", int64(len(list)))
 }
@@ -236,6 +240,8 @@
 		case carriage.KindPing:
 			ba.scratch = waybill.AppendPing(ba.scratch[:0])
 			ba.send(ac.To, ba.scratch)
+		case carriage.KindAskOthers:
+			ba.perform(now, ba.view.AskBalancers(now))
 		case carriage.KindSuspect:
 			ba.board.Count("Suspicions", 1)
 			klog.InfoS("Agent silent", "agent", ac.To, "reportAge", age(now, ac.Reported))
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -59,23 +59,20 @@
 	}
 }
 
-// join greets the seeds and finds the other members in the store. A balancer
-// enters itself there, and again whenever its entry has vanished. An agent is
-// found by its greetings; at the first start of the whole system it reads the
-// store only if no seed answers.
+// join greets the seeds, finds the other members in the store, enters itself and
+// enters itself again whenever its entry has vanished. At the first start of the
+// whole system an agent that a seed has answered need not read the store.
 func (no *node) join(ctx context.Context) error {
 	no.greet(nil)
-	if no.firstStart && no.role() == members.RoleAgent && (!sleep(ctx, seedPatience) || no.joined()) {
-		return nil
-	}
+	list := !no.firstStart || !sleep(ctx, seedPatience) || !no.joined()
 	var bo backoff
 	for {
-		err := no.register(ctx)
+		err := no.register(ctx, list)
 		if err == nil {
 			break
 		}
 		klog.ErrorS(err, "Store not reached; members found by seeds only", "failures", bo.failures)
-		if !bo.wait(ctx, lastBackoff) || no.role() == members.RoleAgent && no.joined() {
+		if !bo.wait(ctx, lastBackoff) {
 			return nil
 		}
 	}
@@ -84,9 +81,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-no.forgotten:
-			if no.role() == members.RoleBalancer {
-				no.reenter(ctx)
-			}
+			no.reenter(ctx)
 		}
 	}
 }
@@ -109,8 +104,12 @@
 	return list
 }
 
-// register reads all entries and writes the own one if it isn't there.
-func (no *node) register(ctx context.Context) error {
+// register writes the own entry. With list it first reads all entries, greets
+// their processes and leaves the own entry as it is if it is there.
+func (no *node) register(ctx context.Context, list bool) error {
+	if !list {
+		return no.enter(ctx)
+	}
 	entries, err := no.entries(ctx)
 	if err != nil {
 		return err
@@ -127,14 +126,12 @@
 	}
 	klog.InfoS("Members found in the store", "count", len(found), "self", present)
 	no.greet(found)
-	if present || own.Role == members.RoleAgent {
+	if present {
 		return nil
 	}
 	return no.enter(ctx)
 }
 
-func (no *node) role() members.Role { return no.self().Role }
-
 // joined reports whether another member has answered.
 func (no *node) joined() bool {
 	no.mu.Lock()
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -54,6 +54,7 @@
 	deadline  func() time.Time
 	message   func(now time.Time, from netip.AddrPort, datagram []byte)
 	changed   func(now time.Time)
+	heard     func(now time.Time, from netip.AddrPort)
 	rerouted  func(now time.Time, ro *catalog.Routes)
 	forgotten chan struct{}
 	removed   chan netip.AddrPort
@@ -183,6 +184,7 @@
 		return
 	}
 	no.perform(now, no.view.Handle(now, from, msg))
+	no.heard(now, from)
 	no.schedule(now)
 }
 
