fix: a copy of a waiting opening is confirmed

The test found 82 flows of an overload at several hosts, now none. A balancer that was starved of the processor reads its confirmations before it suspects an agent.

--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -156,6 +156,8 @@
 		// Eight slots of 15 ms serve about 530 a second.
 		wo.load(700, began.Add(6*time.Second))
 		wo.runUntil(began.Add(12 * time.Second))
+		// The copies of an opening that waits stay with its host.
+		So(wo.duplicates(), ShouldEqual, 0)
 		inTime := wo.served - wo.late
 		So(wo.wrong+wo.resetsOfOpen, ShouldEqual, 0)
 		So(inTime, ShouldBeGreaterThan, 6*530*6/10)
--- a/internal/coordination/carriage/ends_test.go
+++ b/internal/coordination/carriage/ends_test.go
@@ -7,6 +7,23 @@
 
 // This file plays the two ends of a flow: hosts and callers.
 
+// duplicates returns the number of flows that several hosts were asked to open.
+func (wo *world) duplicates() int {
+	seen := make(map[Flow]int)
+	for _, ho := range wo.hosts {
+		for flow := range ho.flows {
+			seen[flow]++
+		}
+	}
+	count := 0
+	for _, times := range seen {
+		if times > 1 {
+			count++
+		}
+	}
+	return count
+}
+
 // fromHost hands a packet of the host to its agent and on to the caller.
 func (wo *world) fromHost(ho *worldHost, pk Packet) {
 	if !ho.agent {
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -337,14 +337,13 @@
 
 // enqueue lets an opening wait for the host.
 func (ga *Gate) enqueue(now time.Time, of Offer, data []byte) {
-	if ga.queue.contains(of.Flow) {
-		return
-	}
 	var route catalog.Route
 	if ga.routes != nil {
 		route = ga.routes.Addresses[of.Service]
 	}
-	if !ga.queue.add(now, of, data, route, ga.limit()) {
+	// A copy of an opening that waits is confirmed as well, or its balancer would
+	// take it to another host.
+	if !ga.queue.contains(of.Flow) && !ga.queue.add(now, of, data, route, ga.limit()) {
 		ga.decline(of, data, ReasonFull)
 		return
 	}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -14,6 +14,11 @@
 	// ConfirmTimeout is how long a balancer waits for the confirmation of an
 	// opening: several round trips between failure domains.
 	ConfirmTimeout = 25 * time.Millisecond
+	// starved is how late a look at the deadlines may come before it tells that
+	// the process had to wait for the processor, and confirmations with it.
+	starved = 3 * time.Millisecond
+	// starvedGrace is what an opening is given more then, once.
+	starvedGrace = 15 * time.Millisecond
 	// FlowIdle is how long a balancer remembers where an idle flow is. Forgetting
 	// costs a search only.
 	FlowIdle = 60 * time.Second
@@ -57,7 +62,9 @@
 	offers  int
 	// unconfirmed says that a host which did not answer may open the flow yet.
 	unconfirmed bool
-	search      search
+	// spared says that the deadline was put off as the process was starved.
+	spared bool
+	search search
 	// deadline is when the passage needs attention; at is its heap position.
 	deadline time.Time
 	at       int
@@ -144,6 +151,11 @@
 		heap.Remove(&pl.due, 0)
 		switch pa.phase {
 		case phaseOpening:
+			if !pa.spared && now.Sub(pa.deadline) > starved {
+				pa.spared = true
+				pl.wait(pa, now.Add(starvedGrace))
+				break
+			}
 			pl.unconfirmed(now, pa)
 		case phaseSearching:
 			pl.searchFurther(now, pa)
@@ -271,6 +283,7 @@
 // openAt sends the opening packet and waits for the confirmation.
 func (pl *Placer) openAt(now time.Time, pa *passage, ag *agent, ur Urgency) {
 	pa.agent = ag
+	pa.spared = false
 	ag.sent++
 	pl.carry(ag, pa.flow, pa.opening, Action{
 		Urgency: ur, Tag: serviceTag(pa.service), Opening: true, Attempt: len(pa.tried),
