perf: a flow has five candidates, which a search asks first

Most claims were doubts of agents whose new hosts had counted to three. Built: rendezvous ranks; a search asks three near and two far candidates, then all; hosts count as new up to four check-ins; calls end after 700 ms.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -37,6 +37,8 @@
 // agent is what a balancer knows of an agent and its host.
 type agent struct {
 	address netip.AddrPort
+	// seed is the number from which the ranks for all flows follow.
+	seed    uint64
 	service string
 	domain  string
 	report  Report
@@ -88,7 +90,7 @@
 		present[me.Address] = struct{}{}
 		ag, ok := pl.agents[me.Address]
 		if !ok {
-			ag = &agent{address: me.Address, at: -1}
+			ag = &agent{address: me.Address, seed: seedOf(me.Address), at: -1}
 			pl.agents[me.Address] = ag
 		}
 		ag.service, ag.domain = me.Service, me.Domain
@@ -128,13 +130,18 @@
 	}
 	var best *agent
 	least := math.Inf(1)
+	first := pl.candidatesOf(pa.flow, pa.service)
 	start := int(pa.flow.Hash() % uint64(len(pool)))
 	for i := range pool {
 		ag := pool[(start+i)%len(pool)]
 		if pa.hasTried(ag) || !ag.mayTake() {
 			continue
 		}
-		if cost := ag.cost(now, pl.domain) + ag.reluctance(); cost < least {
+		cost := ag.cost(now, pl.domain) + ag.reluctance()
+		if !first.contains(ag) {
+			cost += strangerCost
+		}
+		if cost < least {
 			best, least = ag, cost
 		}
 	}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -204,8 +204,9 @@
 }
 
 // newbornSequence is the number of a host's check-ins up to which it counts as
-// just started: before its first one is acknowledged it takes no flow.
-const newbornSequence = 2
+// just started: some may have failed while its agent started too. Before one is
+// acknowledged a host takes no flow.
+const newbornSequence = 4
 
 // presumedSlots is taken for the slots of a host that has not checked in.
 const presumedSlots = 2
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// nearWait is how long a search waits for the agents of its own failure
-	// domain before it asks the others.
+	// nearWait is how long a search waits for the flow's candidates before it asks
+	// all agents.
 	nearWait = 6 * time.Millisecond
 	// farWait is how long it waits for all agents.
 	farWait = 20 * time.Millisecond
@@ -69,17 +69,17 @@
 	pl.searchFurther(now, pa)
 }
 
-// searchFurther goes on to the next round of a search: the agents of the own
-// failure domain, all agents, then the hosts that may hold the flow.
+// searchFurther goes on to the next round of a search: the flow's candidates, all
+// agents, then the hosts that may hold the flow.
 func (pl *Placer) searchFurther(now time.Time, pa *passage) {
 	pa.search.round++
-	if pa.search.round == 1 && pl.ask(pa, true) > 0 {
+	if pa.search.round == 1 && pl.ask(pa, pl.firstHolders(pa.flow)) > 0 {
 		pl.wait(pa, now.Add(nearWait))
 		return
 	}
 	if pa.search.round <= 2 {
 		pa.search.round = 2
-		pl.ask(pa, false)
+		pl.ask(pa, pl.holders(pa.flow))
 		pl.wait(pa, now.Add(farWait))
 		return
 	}
@@ -94,20 +94,27 @@
 	pl.wait(pa, now.Add(lostPause))
 }
 
-// ask sends the question to the agents of the flow's services and returns their
-// number.
-func (pl *Placer) ask(pa *passage, near bool) int {
-	count := 0
-	for _, ag := range pl.holders(pa.flow) {
-		if near && ag.domain != pl.domain {
-			continue
-		}
-		count++
+// ask sends the question to the agents and returns their number.
+func (pl *Placer) ask(pa *passage, list []*agent) int {
+	for _, ag := range list {
 		pl.out = append(pl.out, Action{
 			Kind: KindFind, To: ag.address, Flow: pa.flow, Acknowledged: pa.search.acknowledged,
 		})
 	}
-	return count
+	return len(list)
+}
+
+// firstHolders returns the agents among which the flow was placed first.
+func (pl *Placer) firstHolders(flow Flow) []*agent {
+	if pl.routes == nil {
+		return nil
+	}
+	var list []*agent
+	for _, ws := range pl.routes.Addresses[flow.Service].Services {
+		ca := pl.candidatesOf(flow, ws.Service)
+		list = append(list, ca.list()...)
+	}
+	return list
 }
 
 // holders returns the agents that may hold the flow: those of the services of
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -17,8 +17,9 @@
 	// store.
 	firstBackoff = 250 * time.Millisecond
 	lastBackoff  = 2 * time.Second
-	// callTimeout bounds one call to the store.
-	callTimeout = 2 * time.Second
+	// callTimeout bounds one call to the store: a call that hangs while the store
+	// comes back must not hold up a process that starts.
+	callTimeout = 700 * time.Millisecond
 	// watchWait is the longest wait of one watch: a watch that hears nothing
 	// must end well before a configuration is due in force everywhere.
 	watchWait = 1800 * time.Millisecond
