--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -94,7 +94,6 @@
 	working      int
 	waiting      []Flow
 	work         time.Duration
-	wake         time.Time
 }
 
 type worldFlow struct {
@@ -109,7 +108,6 @@
 	accepted bool
 	number   uint32
 	done     bool
-	tries    int
 }
 
 func newWorld(seed uint64, balancers, hosts int) *world {
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -29,6 +29,9 @@
 	// watcherCheck is the time between two looks of a balancer that doesn't
 	// watch whether it has to.
 	watcherCheck = time.Second
+	// lonelyBackoff is the longest pause of a process that knows no other between
+	// two looks at the entries.
+	lonelyBackoff = 5 * time.Second
 	// seedPatience is how long an agent waits for an answer of the seeds.
 	seedPatience = 500 * time.Millisecond
 	// cleanPause is the least time between two looks for stale entries.
@@ -77,6 +80,7 @@
 			return nil
 		}
 	}
+	no.lookAgain(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,6 +91,17 @@
 	}
 }
 
+// lookAgain reads the entries until another member has answered: processes that
+// start together may all have read them before any was written.
+func (no *node) lookAgain(ctx context.Context) {
+	var bo backoff
+	for bo.wait(ctx, lonelyBackoff) && !no.joined() {
+		if err := no.register(ctx, true); err != nil {
+			klog.ErrorS(err, "Store not reached by a process that knows no other", "failures", bo.failures)
+		}
+	}
+}
+
 // greet greets the members found and the seeds.
 func (no *node) greet(found []members.Record) {
 	no.mu.Lock()
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -26,6 +27,8 @@
 	// socketBuffer is the kernel's buffer of a socket in bytes: a burst that
 	// arrives while the process waits for the processor.
 	socketBuffer = 1 << 20
+	// maxRemoved bounds the removed members whose entries wait to be removed.
+	maxRemoved = 64
 	// readHeaderTimeout bounds how long a connection may take for its request.
 	readHeaderTimeout = 2 * time.Second
 )
@@ -66,15 +69,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &node{
+	no := &node{
 		settings: st, store: sr, board: board, peers: peers, started: now,
 		view: members.NewView(members.Record{
 			Revision: register.Revision{Incarnation: uint64(now.UnixMilli())},
 			Address:  st.Peers, Role: role, Domain: st.Domain,
 		}),
 		forgotten: make(chan struct{}, 1),
-		removed:   make(chan netip.AddrPort, 64),
-	}, nil
+		removed:   make(chan netip.AddrPort, maxRemoved),
+	}
+	no.timer = time.AfterFunc(math.MaxInt64, no.wake)
+	return no, nil
 }
 
 func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
@@ -127,18 +132,13 @@
 	gr.Go(func() error { return serve(ctx, no.settings.Metrics, no.board) })
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	no.timer = time.AfterFunc(0, no.wake)
-	no.wakeAt = time.Now()
+	no.schedule(time.Now())
 }
 
 // close ends the socket and the timer.
 func (no *node) close() {
 	no.peers.Close()
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	if no.timer != nil {
-		no.timer.Stop()
-	}
+	no.timer.Stop()
 }
 
 // wake does what has become due.
