--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -32,6 +32,9 @@
 	KindDeliver
 	// KindReturn sends the datagram to the caller.
 	KindReturn
+	// KindServed notes that the host has sent its whole answer to a flow that was
+	// handed over at Started.
+	KindServed
 	// KindConfirm tells the balancer To that the host accepted the flow.
 	KindConfirm
 	// KindDecline hands the datagram back to the balancer To.
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -557,6 +557,7 @@
 	if pk.Finishes || pk.Resets {
 		if ho.working && !ho.opened.IsZero() {
 			ga.queue.served(now.Sub(ho.opened))
+			ga.out = append(ga.out, Action{Kind: KindServed, Flow: pk.Flow, Started: ho.opened})
 		}
 		ga.setWorking(ho, false)
 	}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -321,6 +321,7 @@
 	pa.phase = phaseLocated
 	pa.agent = ag
 	pa.opening = nil
+	pl.out = append(pl.out, Action{Kind: KindServed, To: from, Flow: flow, Started: pa.opened})
 	return pl.out
 }
 
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -305,6 +305,9 @@
 				"inProgress", ag.gate.InProgress())
 			ag.scratch = waybill.AppendConfirm(ag.scratch[:0], ac.Flow, ag.gate.Report(now))
 			ag.send(ac.To, ag.scratch)
+		case carriage.KindServed:
+			ag.board.Observe("ServedMilliseconds", ac.Flow.Service.String(), now.Sub(ac.Started))
+			klog.InfoS("Flow answered", "flow", ac.Flow, "took", now.Sub(ac.Started).Round(time.Millisecond))
 		case carriage.KindDecline:
 			ag.board.Count("Declined."+ac.Reason.String(), 1)
 			klog.InfoS("Packet declined", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening,
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -233,6 +233,8 @@
 		case carriage.KindPark:
 			ba.board.Count("Parked", 1)
 			klog.InfoS("Opening waits for a host", "flow", ac.Flow, "version", ba.view.Version())
+		case carriage.KindServed:
+			ba.board.Observe("ConfirmedMilliseconds", ac.Flow.Service.String(), now.Sub(ac.Started))
 		case carriage.KindFind:
 			ba.board.Count("Searches", 1)
 			ba.scratch = waybill.AppendFind(ba.scratch[:0], ac.Flow, ac.Acknowledged)
