fix: a host that returns openings gets none for a while

Its agent now takes it out for 0.2 s, doubling to 1.6 s, until it accepts one or checks in; only hosts that declined as busy are asked again.

--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -69,6 +69,22 @@
 	})
 }
 
+func TestHostRefuses(t *testing.T) {
+	Convey("A host that returns every opening doesn't draw callers by being idle", t, func() {
+		wo := newWorld(12, 3, 6)
+		wo.load(300, began.Add(6*time.Second))
+		wo.after(2*time.Second, func() { wo.hosts[0].refusing = true })
+		wo.after(4*time.Second, func() { wo.hosts[0].refusing = false })
+		wo.runUntil(began.Add(6 * time.Second))
+		So(wo.refused+wo.failed+wo.wrong+wo.resetsOfOpen, ShouldEqual, 0)
+		So(wo.refusals, ShouldBeLessThan, 30)
+		before := len(wo.hosts[0].flows)
+		wo.load(300, wo.now.Add(time.Second))
+		wo.runUntil(wo.now.Add(time.Second))
+		So(len(wo.hosts[0].flows), ShouldBeGreaterThan, before)
+	})
+}
+
 func TestAgentRestarts(t *testing.T) {
 	Convey("Flows that a host holds go on after its agent was restarted", t, func() {
 		wo := newWorld(5, 2, 4)
--- a/internal/coordination/carriage/ends_test.go
+++ b/internal/coordination/carriage/ends_test.go
@@ -45,6 +45,13 @@
 	}
 	wo.deliveries++
 	fl, ok := ho.flows[pk.Flow]
+	if pk.Opening && ho.refusing {
+		wo.refusals++
+		returned := pk
+		returned.Returned = true
+		wo.performAgent(ho, ho.gate.FromHost(wo.now, returned, data))
+		return
+	}
 	if pk.Opening {
 		if !ok {
 			if !ho.draining.IsZero() && wo.now.Sub(ho.draining) > 3*time.Second {
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -25,6 +25,10 @@
 	// ends the handshake: several round trips. A caller that has given up never
 	// does.
 	handshakeTimeout = 60 * time.Millisecond
+	// firstRefusal and lastRefusal bound how long a host that returned an opening
+	// gets none.
+	firstRefusal = 200 * time.Millisecond
+	lastRefusal  = 1600 * time.Millisecond
 	// workTimeout is how long a flow without packets counts as in progress.
 	workTimeout = 2 * time.Second
 	// maxHeld bounds the flows that an agent remembers.
@@ -100,6 +104,10 @@
 	unanswered   int
 	waitingSince time.Time
 	silent       bool
+	// refusals counts the openings that the host returned in a row; until
+	// refusedUntil it is taken for one that takes none.
+	refusals     int
+	refusedUntil time.Time
 	// elder says that the host is older than the agent and may hold flows of
 	// which the agent doesn't know.
 	elder    bool
@@ -166,7 +174,7 @@
 	switch {
 	case ga.gone:
 		return register.StateGone
-	case !ga.known || ga.silent:
+	case !ga.known || ga.silent || now.Before(ga.refusedUntil):
 		return 0
 	case ga.leaving || ga.host.Draining:
 		return register.StateDraining
@@ -194,6 +202,7 @@
 		// A host that was already leaving when the agent started has no grace.
 		ga.drainedAt = now
 	}
+	ga.refusedUntil = time.Time{}
 	ga.known = true
 	ga.presumed = false
 	ga.gone = false
@@ -503,7 +512,7 @@
 		ga.announce(now)
 	}
 	if pk.Returned {
-		ga.returned(pk, data)
+		ga.returned(now, pk, data)
 		ga.serveQueue(now)
 		return ga.out
 	}
@@ -514,7 +523,7 @@
 }
 
 // returned handles a caller's packet that the host handed back.
-func (ga *Gate) returned(pk Packet, data []byte) {
+func (ga *Gate) returned(now time.Time, pk Packet, data []byte) {
 	el, ok := ga.flows.entries[pk.Flow]
 	if !ok {
 		ga.out = append(ga.out, Action{Kind: KindDrop, Flow: pk.Flow, Reason: ReasonNotHeld})
@@ -524,6 +533,9 @@
 	re := ReasonNotHeld
 	if pk.Opening {
 		re = ReasonHostRefused
+		ga.refusedUntil = now.Add(min(firstRefusal<<min(ga.refusals, 8), lastRefusal))
+		ga.refusals++
+		ga.announce(now)
 	}
 	ga.setWorking(ho, false)
 	ho.stage = stageAbsent
@@ -545,6 +557,7 @@
 	ho.lastUsed = now
 	switch {
 	case pk.Accepting:
+		ga.refusals = 0
 		if ho.stage == stageOffered || ho.stage >= stageTried {
 			ho.stage = stageAccepted
 		}
--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -154,7 +154,7 @@
 	}
 	pa.phase = phaseOpening
 	pa.tried = pa.tried[:0]
-	pa.offers = maxOffers
+	pa.busy = pa.busy[:0]
 	pl.place(now, pa)
 }
 
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -58,8 +58,10 @@
 	opening []byte
 	copy    uint32
 	service string
-	tried   []netip.AddrPort
-	offers  int
+	// tried are the agents that the opening went to, busy those of them that
+	// declined it as their hosts were busy.
+	tried []netip.AddrPort
+	busy  []netip.AddrPort
 	// unconfirmed says that a host which did not answer may open the flow yet.
 	unconfirmed bool
 	// spared says that the deadline was put off as the process was starved.
@@ -267,7 +269,7 @@
 	switch {
 	case ag == nil || len(pa.tried) >= maxAttempts:
 		pl.giveUp(now, pa)
-	case pa.offers < maxOffers && ag.takes() && ag.estimate(now) < float64(ag.report.Slots):
+	case len(pa.busy) < maxOffers && ag.takes() && ag.estimate(now) < float64(ag.report.Slots):
 		pl.try(now, pa, ag, UrgencyOffer)
 	default:
 		pl.try(now, pa, ag, UrgencyTake)
@@ -347,7 +349,7 @@
 	pl.cancel(pa)
 	switch why {
 	case ReasonBusy:
-		pa.offers++
+		pa.busy = append(pa.busy, from)
 		pl.place(now, pa)
 	case ReasonFull:
 		pl.refuseOpening(pa, why)
@@ -405,7 +407,7 @@
 // hasTried reports whether the opening went to the agent before and must not
 // again. One that declined offers as busy may be asked to take it.
 func (pa *passage) hasTried(ag *agent) bool {
-	if pa.offers == maxOffers && !pa.unconfirmed && ag.takes() {
+	if len(pa.busy) >= maxOffers && slices.Contains(pa.busy, ag.address) {
 		return false
 	}
 	return slices.Contains(pa.tried, ag.address)
--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -70,7 +70,7 @@
 	resetsOfOpen            int
 	openedAfterDrain        int
 	wrong                   int
-	deliveries              int
+	deliveries, refusals    int
 }
 
 type worldBalancer struct {
@@ -87,13 +87,15 @@
 	gate    *Gate
 	// agent says that the agent runs, alive that the host does.
 	agent, alive bool
-	born         time.Time
-	sequence     uint64
-	draining     time.Time
-	flows        map[Flow]*worldFlow
-	working      int
-	waiting      []Flow
-	work         time.Duration
+	// refusing says that the host returns every opening.
+	refusing bool
+	born     time.Time
+	sequence uint64
+	draining time.Time
+	flows    map[Flow]*worldFlow
+	working  int
+	waiting  []Flow
+	work     time.Duration
 }
 
 type worldFlow struct {
