fix: callers of a host that lost their flows are told at once

Cause: after a host has started anew, or returns the packets of a flow that it held, callers repeated their packets until their budget ended. Found on the way by the property test, both older faults of the gate: - the first acknowledgement was matched within 2^20 numbers, so with one flow accepted by two hosts one in 4,096 would have gone to the wrong one; - a repeated acceptance of a forgotten flow made the agent take it for open.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -12,7 +12,8 @@
 const (
 	// KindCarry sends the datagram with its Urgency to the agent To.
 	KindCarry Kind = iota + 1
-	// KindReset tells the caller that its opening packet was refused.
+	// KindReset tells the caller that its opening packet was refused, or that the
+	// host has lost its flow.
 	KindReset
 	// KindDrop only notes that the packet goes nowhere.
 	KindDrop
@@ -58,7 +59,8 @@
 	Urgency Urgency
 	// Tag is the number of the service that the opening is for.
 	Tag uint32
-	// Acknowledged goes with KindFind.
+	// Acknowledged is the number of the next byte that the caller waits for. It
+	// goes with KindFind and KindReset.
 	Acknowledged uint32
 	// Sure goes with KindHeld.
 	Sure   bool
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -85,6 +85,29 @@
 	})
 }
 
+func TestHostStartsAnew(t *testing.T) {
+	Convey("Callers of a host that has lost their flows are told at once", t, func() {
+		wo := newWorld(13, 2, 2)
+		for _, ho := range wo.hosts {
+			ho.work = 2 * time.Second
+		}
+		wo.load(20, began.Add(150*time.Millisecond))
+		wo.runUntil(began.Add(time.Second))
+		held := len(wo.hosts[0].flows)
+		So(held, ShouldBeGreaterThan, 0)
+		wo.crashHost(0)
+		wo.startHost(0)
+		for _, ca := range wo.callers {
+			wo.request(ca, time.Second)
+		}
+		wo.runUntil(wo.now.Add(100 * time.Millisecond))
+		So(wo.refused, ShouldEqual, held)
+		So(wo.resetsOfOpen, ShouldEqual, 0)
+		wo.runUntil(wo.now.Add(10 * time.Second))
+		So(wo.wrong+wo.resetsOfOpen, ShouldEqual, 0)
+	})
+}
+
 func TestAgentRestarts(t *testing.T) {
 	Convey("Flows that a host holds go on after its agent was restarted", t, func() {
 		wo := newWorld(5, 2, 4)
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -67,6 +67,8 @@
 	stageTried
 	// stageAbsent is a flow that the host was found not to hold.
 	stageAbsent
+	// stageLost is a flow that the host held before it started anew.
+	stageLost
 )
 
 // holding is what an agent knows of a flow of its host.
@@ -243,11 +245,21 @@
 	return ci.Name == ga.host.Name && ci.Sequence > ga.host.Sequence
 }
 
-// restarted forgets the flows of the host's former start.
+// restarted notes that the flows of the host's former start are lost.
 func (ga *Gate) restarted() {
-	ga.flows = newRecent[*holding]()
-	ga.progress = 0
 	ga.elder = false
+	ga.handshakes = nil
+	for el := ga.flows.order.Front(); el != nil; {
+		next := el.Next()
+		ho := el.Value.(*used[*holding]).value
+		if ho.stage == stageOpen {
+			ga.setWorking(ho, false)
+			ho.stage = stageLost
+		} else {
+			ga.forget(ho)
+		}
+		el = next
+	}
 }
 
 // CheckOut takes a host's word that it ends. It reports whether the word is
@@ -487,20 +499,21 @@
 	case stageAbsent:
 		ga.decline(of, data, ReasonNotHeld)
 		return
+	case stageLost:
+		ga.decline(of, data, ReasonHostLost)
+		return
 	}
 	ho.balancer = of.From
 	ho.lastUsed = now
 	ga.deliver(of.Flow, data, false)
 }
 
-// handshakeWindow is how far a caller's first acknowledgement may lie above the
-// host's first number: the data that may be in flight.
-const handshakeWindow = 1 << 20
-
 // acknowledges reports whether the number answers the acceptance with the first
-// number.
+// number. Before a flow is open the host sends nothing else, so a caller can't
+// wait for a later byte; a wider window would take the answer to another host's
+// acceptance for this one's.
 func acknowledges(number, first uint32) bool {
-	return number-first <= handshakeWindow
+	return number-first <= 1
 }
 
 // FromHost takes a packet that the host sends.
@@ -531,6 +544,9 @@
 	}
 	ho := el.Value.(*used[*holding]).value
 	re := ReasonNotHeld
+	if ho.stage == stageOpen {
+		re = ReasonHostLost
+	}
 	if pk.Opening {
 		re = ReasonHostRefused
 		ga.refusedUntil = now.Add(min(firstRefusal<<min(ga.refusals, 8), lastRefusal))
@@ -539,6 +555,9 @@
 	}
 	ga.setWorking(ho, false)
 	ho.stage = stageAbsent
+	if re == ReasonHostLost {
+		ho.stage = stageLost
+	}
 	ga.out = append(ga.out, Action{
 		Kind: KindDecline, To: ho.balancer, Flow: pk.Flow, Data: data, Reason: re, Opening: pk.Opening,
 	})
@@ -552,6 +571,10 @@
 			return
 		}
 		ho = &holding{flow: pk.Flow, stage: stageOpen}
+		if pk.Accepting {
+			// The caller may have opened the flow at another host meanwhile.
+			ho.stage = stageOffered
+		}
 		ga.flows.put(now, pk.Flow, ho)
 	}
 	ho.lastUsed = now
@@ -593,7 +616,7 @@
 		return ga.out
 	}
 	ho := el.Value.(*used[*holding]).value
-	holds := ho.stage == stageOpen || ho.stage == stageAccepted && acknowledges(acknowledged, ho.first)
+	holds := ho.stage == stageOpen || ho.stage == stageLost || ho.stage == stageAccepted && acknowledges(acknowledged, ho.first)
 	if holds {
 		ga.out = append(ga.out, Action{Kind: KindHeld, To: from, Flow: flow, Sure: true})
 	}
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -88,6 +88,9 @@
 	ReasonHostRefused
 	// ReasonNotHeld says that the host doesn't hold the flow.
 	ReasonNotHeld
+	// ReasonHostLost says that the host returned a packet of a flow that it held:
+	// it has started anew or discarded the flow.
+	ReasonHostLost
 	// ReasonNoHost says that no host of the service is left to try.
 	ReasonNoHost
 	// ReasonNotFound says that no agent knows the flow.
@@ -107,7 +110,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"None", "Busy", "Draining", "HostUnknown", "WrongService", "NoRoute", "HostRefused",
-	"NotHeld", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated",
+	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated",
 }
 
 // String returns the reason's name.
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -334,6 +334,11 @@
 	pa, ok := pl.flows.get(now, pk.Flow)
 	if !pk.Opening {
 		switch {
+		case why == ReasonHostLost && ok && pa.agent == ag && ag != nil:
+			pl.forget(pa)
+			pl.out = append(pl.out, Action{
+				Kind: KindReset, Flow: pk.Flow, Reason: why, Acknowledged: pk.Acknowledged,
+			})
 		case !ok:
 			pl.startSearch(now, pk, data)
 		case pa.phase == phaseSearching:
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -268,13 +268,13 @@
 		"inProgress", ac.InProgress, "reportAge", age(now, ac.Reported), "version", ca.Version)
 }
 
-// reset tells the caller that its opening packet was refused.
+// reset tells the caller that its flow is refused or lost.
 func (ba *Balancer) reset(ac *carriage.Action) {
 	ba.board.Count("Refused."+ac.Reason.String(), 1)
-	klog.InfoS("Opening refused", "flow", ac.Flow, "reason", ac.Reason, "version", ba.view.Version())
+	klog.InfoS("Flow reset", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening, "version", ba.view.Version())
 	to := netip.AddrPortFrom(ac.Flow.Caller.Addr(), ba.settings.Callers.Port())
-	if _, err := ba.callers.WriteToUDPAddrPort(ba.config.Format.Reset(ac.Flow), to); err != nil {
-		klog.ErrorS(err, "Refusal not sent", "flow", ac.Flow)
+	if _, err := ba.callers.WriteToUDPAddrPort(ba.config.Format.Reset(ac.Flow, ac.Acknowledged), to); err != nil {
+		klog.ErrorS(err, "Reset not sent", "flow", ac.Flow)
 	}
 }
 
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -34,8 +34,9 @@
 	FromHost func(datagram []byte) (carriage.Packet, error)
 	// ClearReturned makes a returned packet a caller's packet again.
 	ClearReturned func(datagram []byte)
-	// Reset returns the packet that refuses an opening packet.
-	Reset func(flow carriage.Flow) []byte
+	// Reset returns the packet that ends a flow for its caller, who waits for the
+	// byte of the number, zero before the flow is open.
+	Reset func(flow carriage.Flow, number uint32) []byte
 }
 
 // Entry is a process's entry in the store.
