perf: views are exchanged at most once a second, configurations stay in their domain

Cause: agents keep old records of other agents, so their digests differed from the balancers' and each greeting moved both whole views; each watcher sent a configuration to every process. Built: agents know balancers only; one exchange a second and process; a configuration goes to the own failure domain and one balancer of each other one.

--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -22,15 +22,23 @@
 func (co *configuration) Version() uint64 { return co.version }
 
 // Publish takes a configuration that was read from the store and sends it to
-// all members that are not known to have it.
+// the members of the own failure domain and to one balancer of each other one,
+// where other processes read the store.
 func (vi *View) Publish(version uint64, data []byte) []Action {
 	vi.out = vi.out[:0]
 	if version <= vi.version {
 		return vi.out
 	}
 	vi.version, vi.data = version, data
+	told := map[string]struct{}{vi.self.Domain: {}}
 	for _, address := range vi.addresses() {
-		if vi.members[address].version < version {
+		me := vi.members[address]
+		_, known := told[me.record.Domain]
+		first := !known && me.record.Role == RoleBalancer
+		if first {
+			told[me.record.Domain] = struct{}{}
+		}
+		if (first || me.record.Domain == vi.self.Domain) && me.version < version {
 			vi.sendConfiguration(address)
 		}
 	}
@@ -46,7 +54,7 @@
 	}
 	me.version = version
 	if version > vi.version {
-		vi.send(from, Message{Greeting: vi.greeting(true, false)})
+		vi.send(from, Message{Greeting: vi.greeting(RoleBalancer, true, false)})
 	}
 	return vi.out
 }
@@ -57,7 +65,7 @@
 	case gr.Version < vi.version:
 		vi.sendConfiguration(from)
 	case gr.Version > vi.version && !gr.Answer:
-		vi.send(from, Message{Greeting: vi.greeting(true, false)})
+		vi.send(from, Message{Greeting: vi.greeting(RoleBalancer, true, false)})
 	}
 }
 
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -28,6 +28,9 @@
 	rememberRemoved = time.Minute
 	// repeatAfter is when a changed record is sent again, as datagrams are lost.
 	repeatAfter = 80 * time.Millisecond
+	// shareInterval is the least time between two views that a process sends
+	// because its own differs from another's.
+	shareInterval = time.Second
 	// askPause is the least time between two questions to one balancer.
 	askPause = 40 * time.Millisecond
 	// recordsInPage and bytesInPage keep a page below one datagram.
@@ -62,6 +65,7 @@
 	joined    bool
 	nextGreet time.Time
 	repeatAt  time.Time
+	nextShare time.Time
 	out       []Action
 }
 
@@ -115,7 +119,7 @@
 	}
 	for _, address := range vi.seeds {
 		if _, ok := vi.members[address]; !ok && address != vi.self.Address {
-			vi.send(address, Message{Greeting: vi.greeting(true, true)})
+			vi.send(address, Message{Greeting: vi.greeting(RoleBalancer, true, true)})
 		}
 	}
 }
@@ -146,12 +150,11 @@
 	return vi.out
 }
 
-// tellAll sends the own record to those who steer by it.
+// tellAll sends the own record to all members.
 func (vi *View) tellAll() {
 	for _, address := range vi.addresses() {
-		if vi.members[address].record.Role == RoleBalancer || vi.self.Role == RoleBalancer {
-			vi.send(address, Message{Greeting: vi.greeting(false, false)})
-		}
+		peer := vi.members[address].record.Role
+		vi.send(address, Message{Greeting: vi.greeting(peer, false, false)})
 	}
 }
 
@@ -239,12 +242,12 @@
 func (vi *View) greet(now time.Time, me *member, share bool) {
 	me.greeted = now
 	me.unanswered++
-	vi.send(me.record.Address, Message{Greeting: vi.greeting(true, share)})
+	vi.send(me.record.Address, Message{Greeting: vi.greeting(me.record.Role, true, share)})
 }
 
-func (vi *View) greeting(answer, share bool) *Greeting {
+func (vi *View) greeting(peer Role, answer, share bool) *Greeting {
 	return &Greeting{
-		Record: vi.self, Digest: vi.digest(), Version: vi.version, Answer: answer, Share: share,
+		Record: vi.self, Digest: vi.digest(peer), Version: vi.version, Answer: answer, Share: share,
 	}
 }
 
@@ -252,11 +255,18 @@
 	vi.out = append(vi.out, Action{Kind: KindSend, To: to, Message: me})
 }
 
-// digest returns a number that is equal for equal views.
-func (vi *View) digest() uint64 {
-	total := digestOf(vi.self)
+// digest returns a number that is equal for equal views. With an agent on either
+// side only the balancers count: an agent knows no others.
+func (vi *View) digest(peer Role) uint64 {
+	partial := vi.self.Role == RoleAgent || peer == RoleAgent
+	total := uint64(0)
+	if !partial || vi.self.Role == RoleBalancer {
+		total = digestOf(vi.self)
+	}
 	for _, me := range vi.members {
-		total += digestOf(me.record)
+		if !partial || me.record.Role == RoleBalancer {
+			total += digestOf(me.record)
+		}
 	}
 	return total
 }
@@ -295,6 +305,11 @@
 	if !ok {
 		return
 	}
+	if me.record.Supersedes(gr.Record.Revision) {
+		// The process started again with its clock set back: it has to outdo the
+		// record of its former start.
+		vi.send(from, Message{Page: &Page{Records: []Record{me.record}}})
+	}
 	me.heard = now
 	me.unanswered = 0
 	me.version = max(me.version, gr.Version)
@@ -302,21 +317,27 @@
 	if gr.Forgotten {
 		vi.out = append(vi.out, Action{Kind: KindRegister})
 	}
-	differs := gr.Digest != vi.digest()
+	share := gr.Answer && !gr.Share && gr.Digest != vi.digest(gr.Record.Role) && !now.Before(vi.nextShare)
+	if share {
+		vi.nextShare = now.Add(shareInterval)
+	}
 	if gr.Answer {
-		answer := vi.greeting(false, differs)
+		answer := vi.greeting(gr.Record.Role, false, share)
 		answer.Forgotten = removed
 		vi.send(from, Message{Greeting: answer})
 	}
-	if gr.Share || gr.Answer && differs {
-		vi.sendView(from)
+	if gr.Share || share {
+		vi.sendView(from, gr.Record.Role)
 	}
 	vi.compareVersions(from, gr)
 }
 
-// sendView sends all records in pages.
-func (vi *View) sendView(to netip.AddrPort) {
+// sendView sends the records that the peer needs in pages.
+func (vi *View) sendView(to netip.AddrPort, peer Role) {
 	list := append(vi.Records(), vi.self)
+	if peer == RoleAgent {
+		list = slices.DeleteFunc(list, func(re Record) bool { return re.Role != RoleBalancer })
+	}
 	for chunk := range slices.Chunk(list, recordsInPage) {
 		vi.send(to, Message{Page: &Page{Records: chunk}})
 	}
@@ -342,6 +363,9 @@
 		vi.refute(re)
 		return
 	}
+	if vi.self.Role == RoleAgent && re.Role == RoleAgent {
+		return
+	}
 	if rm, ok := vi.removed[re.Address]; ok {
 		if !direct && !re.Supersedes(rm.revision) {
 			return
