--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -273,11 +273,22 @@
 	no.schedule(now)
 }
 
+// Reload takes what may change while the process runs: the seeds and the time to
+// stop. Names and the process's own addresses hold until it ends.
+func (no *node) Reload(st settings.Carrier) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.settings.Seeds = st.Seeds
+	no.settings.StopWithin = st.StopWithin
+}
+
 // stopMargin is the part of the time to stop that is left for the end itself.
 const stopMargin = time.Second
 
 // stopDeadline returns when a graceful shutdown that began then has to end.
 func (no *node) stopDeadline(began time.Time) time.Time {
+	no.mu.Lock()
+	defer no.mu.Unlock()
 	return began.Add(time.Duration(no.settings.StopWithin) - stopMargin)
 }
 
