fix: a record brings back nothing that a report has outgrown

Cause: each change of one member set the state of all agents from their records, also of one whose newer record was lost on the way; its host got no flow until the next report. The test placed an opening at a leaving host before.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -27,6 +27,8 @@
 
 // Agent is a member of the fleet as a balancer is told of it.
 type Agent struct {
+	// Revision is that of the agent's record.
+	register.Revision
 	Address netip.AddrPort
 	Service string
 	Domain  string
@@ -38,10 +40,12 @@
 type agent struct {
 	address netip.AddrPort
 	// seed is the number from which the ranks for all flows follow.
-	seed    uint64
-	service string
-	domain  string
-	report  Report
+	seed uint64
+	// revision is that of the record from which the state was taken last.
+	revision register.Revision
+	service  string
+	domain   string
+	report   Report
 	// reported is when the report came, zero before the first.
 	reported time.Time
 	// sent is the number of openings sent since the last report.
@@ -93,6 +97,11 @@
 			ag = &agent{address: me.Address, seed: seedOf(me.Address), at: -1}
 			pl.agents[me.Address] = ag
 		}
+		if ok && !me.Supersedes(ag.revision) {
+			// A report that came meanwhile is newer.
+			continue
+		}
+		ag.revision = me.Revision
 		ag.service, ag.domain = me.Service, me.Domain
 		ag.report.State = me.State
 		if me.Slots > 0 {
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 func TestCalmDay(t *testing.T) {
@@ -69,6 +72,27 @@
 	})
 }
 
+func TestReportsOutdoRecords(t *testing.T) {
+	Convey("A change of one member doesn't bring back what another one has outgrown", t, func() {
+		pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: worldPatient})
+		pl.SetRoutes(began, newWorld(1, 1, 1).routes)
+		first := Agent{Address: netip.MustParseAddrPort("10.2.0.1:7000"), Service: worldService, Domain: "a", Slots: 2}
+		first.Incarnation = 1
+		second := first
+		second.Address = netip.MustParseAddrPort("10.2.0.2:7000")
+		// The record that says that its host is ready was lost on the way.
+		pl.SetAgents(began, []Agent{first, second})
+		pl.Reported(began, first.Address, Report{State: register.StateReady, Slots: 2})
+		second.Sequence++
+		second.State = register.StateDraining
+		pl.SetAgents(began, []Agent{first, second})
+		list := pl.Arrive(began, Packet{Flow: Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: worldAddress}, Opening: true}, nil)
+		So(len(list), ShouldEqual, 1)
+		So(list[0].Kind, ShouldEqual, KindCarry)
+		So(list[0].To, ShouldEqual, first.Address)
+	})
+}
+
 func TestHostRefuses(t *testing.T) {
 	Convey("A host that returns every opening doesn't draw callers by being idle", t, func() {
 		wo := newWorld(12, 3, 6)
--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 var began = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
@@ -188,7 +189,8 @@
 	for _, ho := range wo.hosts {
 		if ho.gate != nil {
 			re := ho.gate.Report(wo.now)
-			list = append(list, Agent{Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots})
+			wo.order++
+			list = append(list, Agent{Revision: register.Revision{Incarnation: 1, Sequence: uint64(wo.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots})
 		}
 	}
 	ba.placer.SetOthers(len(wo.balancers) - 1)
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -143,7 +143,8 @@
 			continue
 		}
 		list = append(list, carriage.Agent{
-			Address: re.Address, Service: re.Service, Domain: re.Domain, State: re.State, Slots: re.Slots,
+			Revision: re.Revision, Address: re.Address, Service: re.Service, Domain: re.Domain,
+			State: re.State, Slots: re.Slots,
 		})
 	}
 	ba.placer.SetOthers(others)
