--- /dev/null
+++ b/internal/coordination/carriage/host.go
@@ -0,0 +1,92 @@
+package carriage
+
+import "time"
+
+// FromHost takes a packet that the host sends.
+func (ga *Gate) FromHost(now time.Time, pk Packet, data []byte) []Action {
+	ga.out = ga.out[:0]
+	wasSilent := ga.silent
+	ga.sign(now)
+	if wasSilent {
+		ga.announce(now)
+	}
+	if pk.Returned {
+		ga.returned(now, pk, data)
+		ga.serveQueue(now)
+		return ga.out
+	}
+	ga.answered(now, pk)
+	ga.out = append(ga.out, Action{Kind: KindReturn, Flow: pk.Flow, Data: data})
+	ga.serveQueue(now)
+	return ga.out
+}
+
+// returned handles a caller's packet that the host handed back.
+func (ga *Gate) returned(now time.Time, pk Packet, data []byte) {
+	el, ok := ga.flows.entries[pk.Flow]
+	if !ok {
+		ga.out = append(ga.out, Action{Kind: KindDrop, Flow: pk.Flow, Reason: ReasonNotHeld})
+		return
+	}
+	ho := el.Value.(*used[*holding]).value
+	re := ReasonNotHeld
+	if ho.stage == stageOpen {
+		re = ReasonHostLost
+	}
+	if pk.Opening {
+		re = ReasonHostRefused
+		ga.refusedUntil = now.Add(min(firstRefusal<<min(ga.refusals, 8), lastRefusal))
+		ga.refusals++
+		ga.announce(now)
+	}
+	ga.setWorking(ho, false)
+	ho.stage = stageAbsent
+	if re == ReasonHostLost {
+		ho.stage = stageLost
+	}
+	ga.out = append(ga.out, Action{
+		Kind: KindDecline, To: ho.balancer, Flow: pk.Flow, Data: data, Reason: re, Opening: pk.Opening,
+	})
+}
+
+// answered learns from a packet of the host to a caller.
+func (ga *Gate) answered(now time.Time, pk Packet) {
+	ho, ok := ga.flows.get(now, pk.Flow)
+	if !ok {
+		if pk.Resets {
+			return
+		}
+		ho = &holding{flow: pk.Flow, stage: stageOpen}
+		if pk.Accepting {
+			// The caller may have opened the flow at another host meanwhile.
+			ho.stage = stageOffered
+		}
+		ga.flows.put(now, pk.Flow, ho)
+	}
+	ho.lastUsed = now
+	switch {
+	case pk.Accepting:
+		ga.refusals = 0
+		if ho.stage == stageOffered || ho.stage >= stageTried {
+			ho.stage = stageAccepted
+		}
+		ho.first = pk.Sequence
+		ga.confirm(ho)
+	case ho.stage >= stageTried && !pk.Resets:
+		ho.stage = stageOpen
+		ga.out = append(ga.out, Action{Kind: KindHeld, To: ho.balancer, Flow: pk.Flow, Sure: true})
+	}
+	if pk.Finishes || pk.Resets {
+		if ho.working && !ho.opened.IsZero() {
+			ga.queue.served(now.Sub(ho.opened))
+			ga.out = append(ga.out, Action{Kind: KindServed, Flow: pk.Flow, Started: ho.opened})
+		}
+		ga.setWorking(ho, false)
+	}
+}
+
+func (ga *Gate) confirm(ho *holding) {
+	if ho.balancer.IsValid() {
+		ga.out = append(ga.out, Action{Kind: KindConfirm, To: ho.balancer, Flow: ho.flow})
+	}
+}
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -87,50 +87,23 @@
 func (ag *Agent) Run(ctx context.Context) error {
 	klog.InfoS("Agent started", "name", ag.settings.Name, "domain", ag.settings.Domain,
 		"peers", ag.settings.Peers, "backend", ag.config.Settings.Backend, "store", ag.settings.Store)
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	gr, work := errgroup.WithContext(work)
-	ag.run(work, gr)
-	gr.Go(func() error { return read(ag.outbound, ag.takeHostPacket) })
-	gr.Go(func() error { return serve(work, ag.config.Settings.Control, ag.config.Control(ag)) })
-	gr.Go(func() error { return serve(work, ag.settings.Ready, ag.config.Ready(ag.Ready)) })
-	if !ag.config.Settings.FirstStart {
-		gr.Go(func() error { return ag.presume(work) })
-	}
-	gr.Go(func() error {
-		defer cancel()
-		ag.stop(ctx, work)
-		ag.outbound.Close()
-		ag.close()
-		return nil
+	return ag.run(ctx, life{
+		start: func(work context.Context, gr *errgroup.Group) {
+			gr.Go(func() error { return read(ag.outbound, ag.takeHostPacket) })
+			gr.Go(func() error { return serve(work, ag.config.Settings.Control, ag.config.Control(ag)) })
+			gr.Go(func() error { return serve(work, ag.settings.Ready, ag.config.Ready(ag.Ready)) })
+			if !ag.config.Settings.FirstStart {
+				gr.Go(func() error { return ag.presume(work) })
+			}
+		},
+		leave: func(now time.Time) {
+			ag.leaving = true
+			ag.act(now, ag.gate.Leave(now))
+		},
+		idle:  func(time.Time) bool { return ag.gate.InProgress() == 0 },
+		least: agentStop,
+		close: func() { ag.outbound.Close() },
 	})
-	err := gr.Wait()
-	klog.InfoS("Agent stopped", "uptime", time.Since(ag.started).Round(time.Millisecond), "err", err)
-	return err
-}
-
-// stop waits for the end of the context, then for that of the open flows.
-func (ag *Agent) stop(ctx, work context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-work.Done():
-		return
-	}
-	began := time.Now()
-	deadline := ag.stopDeadline(began)
-	ag.mu.Lock()
-	ag.leaving = true
-	ag.act(began, ag.gate.Leave(began))
-	left := ag.gate.InProgress()
-	ag.mu.Unlock()
-	klog.InfoS("Agent stopping", "deadline", deadline.Sub(began), "inProgress", left)
-	for time.Now().Before(deadline) && sleep(work, stopCheck) {
-		ag.mu.Lock()
-		left := ag.gate.InProgress()
-		ag.mu.Unlock()
-		if left == 0 && time.Since(began) > agentStop {
-			return
-		}
-	}
 }
 
 // healthTimeout bounds the question after the host's health.
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -26,8 +26,6 @@
 	// leastStop is the least time of a graceful shutdown: two readiness probes
 	// and their delays.
 	leastStop = 1500 * time.Millisecond
-	// stopCheck is the time between two looks whether the work has ended.
-	stopCheck = 100 * time.Millisecond
 )
 
 // BalancerConfig is what a balancer is opened with.
@@ -81,49 +79,23 @@
 func (ba *Balancer) Run(ctx context.Context) error {
 	klog.InfoS("Balancer started", "name", ba.settings.Name, "domain", ba.settings.Domain,
 		"peers", ba.settings.Peers, "callers", ba.settings.Callers, "store", ba.settings.Store)
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	gr, work := errgroup.WithContext(work)
-	ba.run(work, gr)
 	ready := ba.config.Ready(ba.Ready)
-	gr.Go(func() error { return read(ba.callers, ba.takePacket) })
-	gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
-	gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
-	gr.Go(func() error { return ba.follow(work) })
-	gr.Go(func() error { return ba.clean(work) })
-	gr.Go(func() error {
-		defer cancel()
-		ba.stop(ctx, work)
-		ba.callers.Close()
-		ba.close()
-		return nil
+	return ba.run(ctx, life{
+		start: func(work context.Context, gr *errgroup.Group) {
+			gr.Go(func() error { return read(ba.callers, ba.takePacket) })
+			gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
+			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
+			gr.Go(func() error { return ba.follow(work) })
+			gr.Go(func() error { return ba.clean(work) })
+		},
+		leave: func(now time.Time) {
+			ba.leaving = true
+			ba.perform(now, ba.view.SetSelf(now, register.StateDraining, "", 0))
+		},
+		idle:  func(now time.Time) bool { return now.Sub(ba.lastPacket) > quietBeforeStop },
+		least: leastStop,
+		close: func() { ba.callers.Close() },
 	})
-	err := gr.Wait()
-	klog.InfoS("Balancer stopped", "uptime", time.Since(ba.started).Round(time.Millisecond), "err", err)
-	return err
-}
-
-// stop waits for the end of the context, then for that of the work.
-func (ba *Balancer) stop(ctx, work context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-work.Done():
-		return
-	}
-	began := time.Now()
-	deadline := ba.stopDeadline(began)
-	klog.InfoS("Balancer stopping", "deadline", deadline.Sub(began))
-	ba.mu.Lock()
-	ba.leaving = true
-	ba.perform(began, ba.view.SetSelf(began, register.StateDraining, "", 0))
-	ba.mu.Unlock()
-	for time.Now().Before(deadline) && sleep(work, stopCheck) {
-		ba.mu.Lock()
-		quiet := time.Since(ba.lastPacket)
-		ba.mu.Unlock()
-		if quiet > quietBeforeStop && time.Since(began) > leastStop {
-			return
-		}
-	}
 }
 
 // Ready reports whether the fabric may send packets here.
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/members"
@@ -125,22 +124,6 @@
 	return nil
 }
 
-// run starts what both roles need.
-func (no *node) run(ctx context.Context, gr *errgroup.Group) {
-	gr.Go(func() error { return read(no.peers, no.takeMessage) })
-	gr.Go(func() error { return no.join(ctx) })
-	gr.Go(func() error { return serve(ctx, no.settings.Metrics, no.board) })
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	no.schedule(time.Now())
-}
-
-// close ends the socket and the timer.
-func (no *node) close() {
-	no.peers.Close()
-	no.timer.Stop()
-}
-
 // wake does what has become due.
 func (no *node) wake() {
 	no.mu.Lock()
@@ -282,16 +265,6 @@
 	no.settings.StopWithin = st.StopWithin
 }
 
-// stopMargin is the part of the time to stop that is left for the end itself.
-const stopMargin = time.Second
-
-// stopDeadline returns when a graceful shutdown that began then has to end.
-func (no *node) stopDeadline(began time.Time) time.Time {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	return began.Add(time.Duration(no.settings.StopWithin) - stopMargin)
-}
-
 func signal(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
