--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -24,7 +24,7 @@
 	// handshakeTimeout is how long a flow counts as in progress before its caller
 	// ends the handshake: several round trips. A caller that has given up never
 	// does.
-	handshakeTimeout = 60 * time.Millisecond
+	handshakeTimeout = 30 * time.Millisecond
 	// firstRefusal and lastRefusal bound how long a host that returned an opening
 	// gets none.
 	firstRefusal = 200 * time.Millisecond
