fix: a host that accepts flows and resets them is taken out for a while

Two flows reset in a row without an answer take a host out for 0.2 s, doubling to 1.6 s until it answers one.

--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -109,6 +109,22 @@
 	})
 }
 
+func TestHostBreaksFlows(t *testing.T) {
+	Convey("A host that accepts flows and resets them soon gets no more", t, func() {
+		wo := newWorld(14, 3, 6)
+		wo.load(300, began.Add(6*time.Second))
+		wo.after(2*time.Second, func() { wo.hosts[0].breaking = true })
+		wo.after(4*time.Second, func() { wo.hosts[0].breaking = false })
+		wo.runUntil(began.Add(6 * time.Second))
+		So(wo.refused+wo.failed+wo.wrong+wo.resetsOfOpen, ShouldEqual, 0)
+		So(wo.brokenByHost, ShouldBeLessThan, 30)
+		before := len(wo.hosts[0].flows)
+		wo.load(300, wo.now.Add(time.Second))
+		wo.runUntil(wo.now.Add(time.Second))
+		So(len(wo.hosts[0].flows), ShouldBeGreaterThan, before)
+	})
+}
+
 func TestHostStartsAnew(t *testing.T) {
 	Convey("Callers of a host that has lost their flows are told at once", t, func() {
 		wo := newWorld(13, 2, 2)
--- a/internal/coordination/carriage/ends_test.go
+++ b/internal/coordination/carriage/ends_test.go
@@ -78,6 +78,12 @@
 		})
 		return
 	}
+	if ho.breaking {
+		wo.brokenByHost++
+		delete(ho.flows, pk.Flow)
+		wo.fromHost(ho, Packet{Flow: pk.Flow, Resets: true})
+		return
+	}
 	if !fl.open {
 		fl.open = true
 		ho.waiting = append(ho.waiting, pk.Flow)
@@ -163,6 +169,10 @@
 	if ca == nil || ca.done {
 		return
 	}
+	if pk.Resets {
+		ca.done = true
+		return
+	}
 	if pk.Accepting {
 		if !ca.accepted {
 			ca.accepted = true
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -25,8 +25,11 @@
 	// ends the handshake: several round trips. A caller that has given up never
 	// does.
 	handshakeTimeout = 30 * time.Millisecond
+	// leastBroken is the number of flows that a host resets in a row until it gets
+	// none.
+	leastBroken = 2
 	// firstRefusal and lastRefusal bound how long a host that returned an opening
-	// gets none.
+	// or reset flows gets none.
 	firstRefusal = 200 * time.Millisecond
 	lastRefusal  = 1600 * time.Millisecond
 	// workTimeout is how long a flow without packets counts as in progress.
@@ -106,10 +109,12 @@
 	unanswered   int
 	waitingSince time.Time
 	silent       bool
-	// refusals counts the openings that the host returned in a row; until
-	// refusedUntil it is taken for one that takes none.
+	// refusals counts how often the host was taken out since it last answered a
+	// request; until refusedUntil it gets no flow.
 	refusals     int
 	refusedUntil time.Time
+	// broken counts the flows in progress that the host has reset in a row.
+	broken int
 	// elder says that the host is older than the agent and may hold flows of
 	// which the agent doesn't know.
 	elder    bool
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -35,9 +35,7 @@
 	}
 	if pk.Opening {
 		re = ReasonHostRefused
-		ga.refusedUntil = now.Add(min(firstRefusal<<min(ga.refusals, 8), lastRefusal))
-		ga.refusals++
-		ga.announce(now)
+		ga.takeOut(now)
 	}
 	ga.setWorking(ho, false)
 	ho.stage = stageAbsent
@@ -49,6 +47,26 @@
 	})
 }
 
+// takeOut gives a host that fails flows none for a while.
+func (ga *Gate) takeOut(now time.Time) {
+	ga.refusedUntil = now.Add(min(firstRefusal<<min(ga.refusals, 8), lastRefusal))
+	ga.refusals++
+	ga.announce(now)
+}
+
+// judge learns from how the host ended a flow that was in progress.
+func (ga *Gate) judge(now time.Time, pk Packet) {
+	if pk.Finishes {
+		ga.broken = 0
+		ga.refusals = 0
+		return
+	}
+	ga.broken++
+	if ga.broken >= leastBroken {
+		ga.takeOut(now)
+	}
+}
+
 // answered learns from a packet of the host to a caller.
 func (ga *Gate) answered(now time.Time, pk Packet) {
 	ho, ok := ga.flows.get(now, pk.Flow)
@@ -66,7 +84,6 @@
 	ho.lastUsed = now
 	switch {
 	case pk.Accepting:
-		ga.refusals = 0
 		if ho.stage == stageOffered || ho.stage >= stageTried {
 			ho.stage = stageAccepted
 		}
@@ -77,6 +94,9 @@
 		ga.out = append(ga.out, Action{Kind: KindHeld, To: ho.balancer, Flow: pk.Flow, Sure: true})
 	}
 	if pk.Finishes || pk.Resets {
+		if ho.working {
+			ga.judge(now, pk)
+		}
 		if ho.working && !ho.opened.IsZero() {
 			ga.queue.served(now.Sub(ho.opened))
 			ga.out = append(ga.out, Action{Kind: KindServed, Flow: pk.Flow, Started: ho.opened})
--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -72,6 +72,7 @@
 	openedAfterDrain        int
 	wrong                   int
 	deliveries, refusals    int
+	brokenByHost            int
 }
 
 type worldBalancer struct {
@@ -88,15 +89,16 @@
 	gate    *Gate
 	// agent says that the agent runs, alive that the host does.
 	agent, alive bool
-	// refusing says that the host returns every opening.
-	refusing bool
-	born     time.Time
-	sequence uint64
-	draining time.Time
-	flows    map[Flow]*worldFlow
-	working  int
-	waiting  []Flow
-	work     time.Duration
+	// refusing says that the host returns every opening, breaking that it resets
+	// each flow that it has accepted.
+	refusing, breaking bool
+	born               time.Time
+	sequence           uint64
+	draining           time.Time
+	flows              map[Flow]*worldFlow
+	working            int
+	waiting            []Flow
+	work               time.Duration
 }
 
 type worldFlow struct {
