--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -125,6 +125,41 @@
 	})
 }
 
+func TestCallerIsFasterThanTheConfirmation(t *testing.T) {
+	Convey("A packet that the second host doesn't hold starts a search before the opening is confirmed", t, func() {
+		pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: worldPatient})
+		pl.SetRoutes(began, newWorld(1, 1, 1).routes)
+		var agents []Agent
+		for i := range 2 {
+			ag := Agent{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i + 1)}), 7000), Service: worldService, Domain: "a"}
+			ag.State, ag.Slots, ag.Incarnation = register.StateReady, 2, 1
+			agents = append(agents, ag)
+		}
+		pl.SetAgents(began, agents)
+		flow := Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: worldAddress}
+		first := pl.Arrive(began, Packet{Flow: flow, Opening: true}, nil)[0].To
+		now := began.Add(ConfirmTimeout)
+		second := netip.AddrPort{}
+		for _, ac := range pl.Tick(now) {
+			if ac.Kind == KindCarry {
+				second = ac.To
+			}
+		}
+		So(second, ShouldNotEqual, first)
+		request := Packet{Flow: flow, Sequence: 1, Acknowledged: 9}
+		So(pl.Arrive(now, request, nil)[0].To, ShouldEqual, second)
+		asked := 0
+		for _, ac := range pl.Declined(now, second, request, nil, ReasonNotHeld, Report{State: register.StateReady, Slots: 2}) {
+			if ac.Kind == KindFind {
+				asked++
+			}
+		}
+		So(asked, ShouldEqual, 2)
+		carried := pl.Found(now, first, flow, true)
+		So(carried[len(carried)-1].To, ShouldEqual, first)
+	})
+}
+
 func TestHostStartsAnew(t *testing.T) {
 	Convey("Callers of a host that has lost their flows are told at once", t, func() {
 		wo := newWorld(13, 2, 2)
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -40,9 +40,13 @@
 type phase uint8
 
 const (
+	// phaseOpening waits for the confirmation of an opening.
 	phaseOpening phase = iota + 1
+	// phaseLocated is a flow whose agent is known.
 	phaseLocated
+	// phaseSearching is a flow whose agent is being asked for.
 	phaseSearching
+	// phaseLost is a flow that no agent has claimed.
 	phaseLost
 	// phaseParked is an opening that waits for a host to appear.
 	phaseParked
@@ -213,7 +217,7 @@
 		pa = nil
 	}
 	if pa != nil && (pa.phase == phaseOpening || pa.phase == phaseParked) {
-		// The first copy is still on its way to a host.
+		// An earlier copy is on its way to a host or waits for one.
 		return
 	}
 	if pa != nil && pa.phase == phaseLocated && pa.agent.takes() {
@@ -343,7 +347,7 @@
 			pl.startSearch(now, pk, data)
 		case pa.phase == phaseSearching:
 			pa.search.exclude(from)
-		case pa.phase == phaseLocated && pa.agent == ag:
+		case (pa.phase == phaseLocated || pa.phase == phaseOpening) && pa.agent == ag:
 			pl.restartSearch(now, pa, pk, data)
 		}
 		return pl.out
