--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -44,22 +44,31 @@
 	firstStart bool
 
 	// mu guards everything below and the core of the role.
-	mu      sync.Mutex
-	view    *members.View
-	routes  *catalog.Routes
-	timer   *time.Timer
-	wakeAt  time.Time
+	mu     sync.Mutex
+	view   *members.View
+	routes *catalog.Routes
+	// timer calls wake at wakeAt, which is zero while it isn't set.
+	timer  *time.Timer
+	wakeAt time.Time
+	// scratch is where outgoing messages are built.
 	scratch []byte
 
-	// The role's seams; all are called with mu held.
-	tick      func(now time.Time)
-	deadline  func() time.Time
-	message   func(now time.Time, from netip.AddrPort, datagram []byte)
-	changed   func(now time.Time)
-	heard     func(now time.Time, from netip.AddrPort)
-	rerouted  func(now time.Time, ro *catalog.Routes)
+	// The role's seams; all are called with mu held. tick does what its core has
+	// due, at deadline at the latest.
+	tick     func(now time.Time)
+	deadline func() time.Time
+	// message takes a message about flows.
+	message func(now time.Time, from netip.AddrPort, datagram []byte)
+	// changed tells that the view has changed, heard that a member was heard and
+	// rerouted that routes are in force.
+	changed  func(now time.Time)
+	heard    func(now time.Time, from netip.AddrPort)
+	rerouted func(now time.Time, ro *catalog.Routes)
+
+	// forgotten tells that the own entry in the store has vanished.
 	forgotten chan struct{}
-	removed   chan netip.AddrPort
+	// removed hands over the members whose entries are to be removed.
+	removed chan netip.AddrPort
 }
 
 func newNode(st settings.Carrier, sr Store, board *gauge.Board, role members.Role) (*node, error) {
