--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -62,7 +62,7 @@
 
 // takes reports whether the agent is to get new flows.
 func (ag *agent) takes() bool {
-	return !ag.suspect && takesNewFlows(ag.report.State)
+	return !ag.suspect && ag.report.State.TakesNewWork()
 }
 
 // estimate returns the number of requests that the host works on, as far as the
--- a/internal/coordination/carriage/doc.go
+++ b/internal/coordination/carriage/doc.go
@@ -15,8 +15,8 @@
 // failure detector. An opening that every host declined is refused at once.
 //
 // A packet of a flow that the balancer doesn't know (it was steered by another
-// balancer before) starts a search: the agents of the service are asked, those
-// of the failure domain first, and the holder answers. An agent that has
+// balancer before) starts a search: the flow's candidates are asked, then all
+// agents of the service, and the holder answers. An agent that has
 // restarted lately answers that it may hold the flow; such hosts get the packet
 // itself, one after the other, and return what they don't hold.
 //
@@ -29,8 +29,8 @@
 //
 // # Usage
 //
-//	pl := carriage.NewPlacer("zone-a", now)
-//	pl.SetRoutes(routes)
+//	pl := carriage.NewPlacer(now, carriage.PlacerSettings{Domain: "a", OpeningTimeout: patience})
+//	perform(pl.SetRoutes(now, routes))
 //	for _, ac := range pl.Arrive(now, packet, datagram) {
 //		perform(ac)
 //	}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -85,8 +85,6 @@
 	working bool
 	// opened is when the opening was given to the host, zero if unknown.
 	opened time.Time
-	// lastUsed is when the last packet of the flow came.
-	lastUsed time.Time
 }
 
 // Gate decides for an agent. It is not safe for concurrent use.
@@ -158,8 +156,7 @@
 
 // Report returns what the agent says about its host.
 func (ga *Gate) Report(now time.Time) Report {
-	load := ga.progress + len(ga.queue.items)
-	re := Report{State: ga.state(now), InProgress: uint16(min(load, 1<<16-1)), Slots: ga.host.Slots}
+	re := Report{State: ga.state(now), InProgress: uint16(min(ga.InProgress(), 1<<16-1)), Slots: ga.host.Slots}
 	if ga.routes != nil {
 		re.Version = ga.routes.Version
 	}
@@ -173,9 +170,6 @@
 // those that wait for the host included.
 func (ga *Gate) InProgress() int { return ga.progress + len(ga.queue.items) }
 
-// Flows returns the number of flows that are remembered.
-func (ga *Gate) Flows() int { return ga.flows.length() }
-
 // state returns the state of the host as the balancers are to see it.
 func (ga *Gate) state(now time.Time) register.State {
 	switch {
@@ -246,7 +240,7 @@
 		ga.decline(of, data, ReasonNotHeld)
 		return
 	}
-	ga.flows.put(now, of.Flow, &holding{flow: of.Flow, stage: stageTried, balancer: of.From, lastUsed: now})
+	ga.flows.put(now, of.Flow, &holding{flow: of.Flow, stage: stageTried, balancer: of.From})
 	ga.deliver(of.Flow, data, false)
 }
 
@@ -279,7 +273,6 @@
 		return
 	}
 	ho.balancer = of.From
-	ho.lastUsed = now
 	ga.deliver(of.Flow, data, false)
 }
 
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -81,7 +81,6 @@
 		}
 		ga.flows.put(now, pk.Flow, ho)
 	}
-	ho.lastUsed = now
 	switch {
 	case pk.Accepting:
 		if ho.stage == stageOffered || ho.stage >= stageTried {
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -96,7 +96,6 @@
 // handOver gives an opening to the host.
 func (ga *Gate) handOver(now time.Time, of Offer, data []byte, ho *holding) {
 	ho.balancer = of.From
-	ho.lastUsed = now
 	if ho.stage == stageOffered {
 		ga.handshakes = append(ga.handshakes, ho)
 		if ga.unanswered == 0 {
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
-	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 const (
@@ -79,8 +78,6 @@
 // Placer decides for a balancer. It is not safe for concurrent use.
 type Placer struct {
 	domain string
-	// patience is when a caller gives up an opening without an answer.
-	patience time.Duration
 	// startup is until when hosts may be there that are not known yet.
 	startup time.Time
 	routes  *catalog.Routes
@@ -105,7 +102,7 @@
 // NewPlacer returns the placer of a balancer that starts now.
 func NewPlacer(now time.Time, st PlacerSettings) *Placer {
 	return &Placer{
-		domain: st.Domain, patience: st.OpeningTimeout, startup: now.Add(startupTime),
+		domain: st.Domain, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string][]*agent),
 		flows:   newRecent[*passage](),
@@ -129,9 +126,6 @@
 	return pl.routes != nil && len(pl.agents) > 0 && !pl.isolated(now)
 }
 
-// Flows returns the number of flows that are remembered.
-func (pl *Placer) Flows() int { return pl.flows.length() }
-
 // Deadline returns when Tick is due, zero if nothing is.
 func (pl *Placer) Deadline() time.Time {
 	first := time.Time{}
@@ -421,6 +415,3 @@
 	}
 	return slices.Contains(pa.tried, ag.address)
 }
-
-// takesNewFlows reports whether a host in the state takes new flows.
-func takesNewFlows(st register.State) bool { return st.TakesNewWork() }
--- a/internal/coordination/carriage/recent.go
+++ b/internal/coordination/carriage/recent.go
@@ -67,5 +67,3 @@
 	}
 	return removed
 }
-
-func (re *recent[V]) length() int { return re.order.Len() }
--- a/internal/transport/journal/journal.go
+++ b/internal/transport/journal/journal.go
@@ -61,15 +61,6 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines left out since the last call.
-func (jo *Journal) Dropped() int {
-	jo.mu.Lock()
-	defer jo.mu.Unlock()
-	count := jo.dropped
-	jo.dropped = 0
-	return count
-}
-
 func (jo *Journal) signal() {
 	select {
 	case jo.wake <- struct{}{}:
