--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -39,8 +39,8 @@
 // CarrierAgent holds the settings of an agent that carries flows.
 type CarrierAgent struct {
 	Carrier
-	// Outbound is the address to which the host sends all its packets.
-	Outbound netip.AddrPort `need:"yes" listen:"udp"`
+	// HostPackets is the address to which the host sends all its packets.
+	HostPackets netip.AddrPort `need:"yes" listen:"udp"`
 	// Control is the address on which the host checks in.
 	Control netip.AddrPort `need:"yes" listen:"tcp"`
 	// Backend is the address at which the host takes packets.
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -41,7 +41,7 @@
 type Agent struct {
 	*node
 	config   AgentConfig
-	outbound *net.UDPConn
+	hostConn *net.UDPConn
 	gate     *carriage.Gate
 	leaving  bool
 	// routed tells that routes have come.
@@ -54,13 +54,13 @@
 	if err != nil {
 		return nil, err
 	}
-	outbound, err := listenUDP(co.Settings.Outbound)
+	hostConn, err := listenUDP(co.Settings.HostPackets)
 	if err != nil {
 		no.close()
 		return nil, err
 	}
 	no.firstStart = co.Settings.FirstStart
-	ag := &Agent{node: no, config: co, outbound: outbound, routed: make(chan struct{}, 1)}
+	ag := &Agent{node: no, config: co, hostConn: hostConn, routed: make(chan struct{}, 1)}
 	ag.gate = carriage.NewGate(no.started, carriage.GateSettings{
 		HeartbeatInterval: time.Duration(co.Settings.HeartbeatInterval),
 		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
@@ -89,7 +89,7 @@
 		"peers", ag.settings.Peers, "backend", ag.config.Settings.Backend, "store", ag.settings.Store)
 	return ag.run(ctx, life{
 		start: func(work context.Context, gr *errgroup.Group) {
-			gr.Go(func() error { return read(ag.outbound, ag.takeHostPacket) })
+			gr.Go(func() error { return read(ag.hostConn, ag.takeHostPacket) })
 			gr.Go(func() error { return serve(work, ag.config.Settings.Control, ag.config.Control(ag)) })
 			gr.Go(func() error { return serve(work, ag.settings.Ready, ag.config.Ready(ag.Ready)) })
 			if !ag.config.Settings.FirstStart {
@@ -102,7 +102,7 @@
 		},
 		idle:  func(time.Time) bool { return ag.gate.InProgress() == 0 },
 		least: agentStop,
-		close: func() { ag.outbound.Close() },
+		close: func() { ag.hostConn.Close() },
 	})
 }
 
@@ -310,7 +310,7 @@
 }
 
 func (ag *Agent) write(ac *carriage.Action, to netip.AddrPort) {
-	if _, err := ag.outbound.WriteToUDPAddrPort(ac.Data, to); err != nil {
+	if _, err := ag.hostConn.WriteToUDPAddrPort(ac.Data, to); err != nil {
 		ag.board.Count("SendsFailed", 1)
 		klog.V(1).InfoS("Packet not sent", "flow", ac.Flow, "to", to, "err", err)
 	}
