--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -229,7 +229,7 @@
 	case !ok:
 		ga.unheld(now, of, data)
 	default:
-		ga.held(now, of, data, ho)
+		ga.held(of, data, ho)
 	}
 	return ga.out
 }
@@ -245,7 +245,7 @@
 }
 
 // held handles a packet of a flow that the agent knows.
-func (ga *Gate) held(now time.Time, of Offer, data []byte, ho *holding) {
+func (ga *Gate) held(of Offer, data []byte, ho *holding) {
 	switch ho.stage {
 	case stageOffered:
 		// The caller answers another host's acceptance.
