feat(carriage): place flows by what hosts were seen to take

Ruled out: each balancer learning by itself (21 balancers would try each slow host more often than they use it now); the word of the host (it says nothing of its speed); heartbeats with the figure (bytes).

Change: an agent averages the time from opening to answer, tells it in every report and spreads it when it has doubled or halved, every 2 s at most. A host above twice the median of its service costs its ratio; all balancers together try it twice a second. TestSlowHosts failed before with 110 late (bound 60) and plays recovery and hosts that are all as slow.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -34,6 +34,8 @@
 	Domain  string
 	State   register.State
 	Slots   uint16
+	// ServiceTime is how long the host takes for a request, zero if unknown.
+	ServiceTime time.Duration
 }
 
 // agent is what a balancer knows of an agent and its host.
@@ -49,11 +51,13 @@
 	// reported is when the report came, zero before the first.
 	reported time.Time
 	// sent is the number of openings sent since the last report.
-	sent     int
-	suspect  bool
-	pings    int
-	nextPing time.Time
-	at       int
+	sent int
+	// retrySlow is when the host is given a flow again though it is slow.
+	retrySlow time.Time
+	suspect   bool
+	pings     int
+	nextPing  time.Time
+	at        int
 }
 
 func (ag *agent) due() time.Time { return ag.nextPing }
@@ -74,12 +78,12 @@
 }
 
 // cost is lower for the better host of a new flow.
-func (ag *agent) cost(now time.Time, domain string) float64 {
-	cost := (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1))
+func (pl *Placer) cost(now time.Time, ag *agent) float64 {
+	cost := (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * pl.slowness(now, ag)
 	if ag.report.State == register.StateWarming {
 		cost *= warmingCost
 	}
-	if ag.domain != domain {
+	if ag.domain != pl.domain {
 		cost += remoteCost
 	}
 	return cost
@@ -107,6 +111,7 @@
 		if me.Slots > 0 {
 			ag.report.Slots = me.Slots
 		}
+		ag.report.ServiceTime = me.ServiceTime
 	}
 	for address, ag := range pl.agents {
 		if _, ok := present[address]; !ok {
@@ -146,7 +151,7 @@
 		if pa.hasTried(ag) || !ag.mayTake() {
 			continue
 		}
-		cost := ag.cost(now, pl.domain) + ag.reluctance()
+		cost := pl.cost(now, ag) + ag.reluctance()
 		if !first.contains(ag) {
 			cost += strangerCost
 		}
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -278,6 +278,39 @@
 	})
 }
 
+func TestSlowHosts(t *testing.T) {
+	Convey("While others have room, hosts that have turned slow get few flows", t, func() {
+		wo := newWorld(15, 3, 10)
+		wo.load(450, began.Add(7*time.Second))
+		slow := func(work time.Duration) {
+			for _, ho := range wo.hosts[:3] {
+				ho.work = work
+			}
+		}
+		wo.after(time.Second, func() { slow(120 * time.Millisecond) })
+		wo.after(4*time.Second, func() { slow(15 * time.Millisecond) })
+		wo.runUntil(began.Add(4 * time.Second))
+		So(wo.refused+wo.failed+wo.wrong+wo.resetsOfOpen, ShouldEqual, 0)
+		// A host is learned to be slow from a few flows and tried twice a second.
+		So(wo.late, ShouldBeLessThan, 60)
+		wo.runUntil(began.Add(6 * time.Second))
+		before := wo.opened(wo.hosts[:3])
+		wo.runUntil(began.Add(7 * time.Second))
+		So(wo.opened(wo.hosts[:3])-before, ShouldBeGreaterThan, 90)
+	})
+	Convey("Hosts that are all as slow share the load as before", t, func() {
+		wo := newWorld(16, 3, 6)
+		for _, ho := range wo.hosts {
+			ho.work = 60 * time.Millisecond
+		}
+		wo.load(100, began.Add(4*time.Second))
+		wo.runUntil(began.Add(4 * time.Second))
+		for _, ho := range wo.hosts {
+			So(len(ho.flows), ShouldBeGreaterThan, 40)
+		}
+	})
+}
+
 func TestFlowsStayWhole(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -64,6 +64,7 @@
 func (ga *Gate) restarted() {
 	ga.elder = false
 	ga.handshakes = nil
+	ga.queue.service = serviceTime{}
 	for el := ga.flows.order.Front(); el != nil; {
 		next := el.Next()
 		ho := el.Value.(*used[*holding]).value
--- a/internal/coordination/carriage/ends_test.go
+++ b/internal/coordination/carriage/ends_test.go
@@ -24,6 +24,15 @@
 	return count
 }
 
+// opened returns the number of flows that the hosts have opened.
+func (wo *world) opened(hosts []*worldHost) int {
+	count := 0
+	for _, ho := range hosts {
+		count += len(ho.flows)
+	}
+	return count
+}
+
 // fromHost hands a packet of the host to its agent and on to the caller.
 func (wo *world) fromHost(ho *worldHost, pk Packet) {
 	if !ho.agent {
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -122,8 +122,10 @@
 	// handshakes are the openings handed over, the oldest first.
 	handshakes []*holding
 	nextScan   time.Time
-	told       Report
-	out        []Action
+	// told is the last report that was spread, at toldAt.
+	told   Report
+	toldAt time.Time
+	out    []Action
 }
 
 // GateSettings are the settings of a Gate.
@@ -156,7 +158,10 @@
 
 // Report returns what the agent says about its host.
 func (ga *Gate) Report(now time.Time) Report {
-	re := Report{State: ga.state(now), InProgress: uint16(min(ga.InProgress(), 1<<16-1)), Slots: ga.host.Slots}
+	re := Report{
+		State: ga.state(now), InProgress: uint16(min(ga.InProgress(), 1<<16-1)), Slots: ga.host.Slots,
+		ServiceTime: ga.queue.service.mean,
+	}
 	if ga.routes != nil {
 		re.Version = ga.routes.Version
 	}
@@ -199,7 +204,13 @@
 	if re.State == ga.told.State && re.Slots == ga.told.Slots {
 		return
 	}
-	ga.told = re
+	ga.tell(now)
+}
+
+// tell asks for the report to be spread.
+func (ga *Gate) tell(now time.Time) {
+	ga.told = ga.Report(now)
+	ga.toldAt = now
 	ga.out = append(ga.out, Action{Kind: KindAnnounce})
 }
 
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// learn takes how long a request took and spreads it if that changed much.
+func (ga *Gate) learn(now time.Time, took time.Duration) {
+	ga.queue.service.add(now, took)
+	if changed(ga.told.ServiceTime, ga.queue.service.value()) && now.Sub(ga.toldAt) >= serviceTimeAnnounce {
+		ga.tell(now)
+	}
+}
+
 // answered learns from a packet of the host to a caller.
 func (ga *Gate) answered(now time.Time, pk Packet) {
 	ho, ok := ga.flows.get(now, pk.Flow)
@@ -97,7 +105,7 @@
 			ga.judge(now, pk)
 		}
 		if ho.working && !ho.opened.IsZero() {
-			ga.queue.served(now.Sub(ho.opened))
+			ga.learn(now, now.Sub(ho.opened))
 			ga.out = append(ga.out, Action{Kind: KindServed, Flow: pk.Flow, Started: ho.opened})
 		}
 		ga.setWorking(ho, false)
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/dchest/siphash"
 
@@ -63,6 +64,9 @@
 	InProgress uint16
 	// Slots is the number of requests that the host works on at once.
 	Slots uint16
+	// ServiceTime is how long the host takes for a request on average, zero
+	// while none was seen.
+	ServiceTime time.Duration
 	// Version is that of the agent's routes.
 	Version uint64
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -85,10 +85,12 @@
 	isolation
 	agents map[netip.AddrPort]*agent
 	pools  map[string][]*agent
-	flows  recent[*passage]
-	due    schedule[*passage]
-	pings  schedule[*agent]
-	out    []Action
+	// typical holds the typical service time of each service.
+	typical map[string]typical
+	flows   recent[*passage]
+	due     schedule[*passage]
+	pings   schedule[*agent]
+	out     []Action
 }
 
 // PlacerSettings are the settings of a Placer.
@@ -105,6 +107,7 @@
 		domain: st.Domain, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string][]*agent),
+		typical: make(map[string]typical),
 		flows:   newRecent[*passage](),
 		parking: newParking(st.OpeningTimeout),
 	}
@@ -285,6 +288,7 @@
 	pa.agent = ag
 	pa.spared = false
 	ag.sent++
+	pl.noteSlow(now, ag)
 	pl.carry(ag, pa.flow, pa.opening, Action{
 		Urgency: ur, Tag: serviceTag(pa.service), Opening: true, Attempt: len(pa.tried),
 		InProgress: ag.estimate(now), Reported: ag.reported, Started: pa.started(),
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -7,10 +7,6 @@
 )
 
 const (
-	// firstServiceTime is taken for the time of a request until some were seen.
-	firstServiceTime = 30 * time.Millisecond
-	// serviceTimeShare is the share of the newest time in the moving average.
-	serviceTimeShare = 0.1
 	// callerRoundTrip is what the handshake and the answer take on their way.
 	callerRoundTrip = 12 * time.Millisecond
 	// maxQueued bounds the openings that wait at one agent.
@@ -35,19 +31,14 @@
 // In the order of arrival every caller would wait until it is late or gone.
 type queue struct {
 	items   []queued
-	service time.Duration
+	service serviceTime
 	patient time.Duration
 }
 
 // newQueue returns an empty queue for callers who give an opening up after the
 // time.
 func newQueue(patience time.Duration) queue {
-	return queue{service: firstServiceTime, patient: patience}
-}
-
-// served takes how long a request took from its opening to its answer.
-func (qu *queue) served(took time.Duration) {
-	qu.service += time.Duration(serviceTimeShare * float64(took-qu.service))
+	return queue{patient: patience}
 }
 
 // add takes an opening. It reports false if the opening would wait, behind
@@ -61,7 +52,7 @@
 	if ro.Goal > 0 {
 		it.goal = of.Started.Add(ro.Goal)
 	}
-	wait := qu.service * time.Duration(qu.ahead(now, &it)+1) / time.Duration(limit)
+	wait := qu.service.value() * time.Duration(qu.ahead(now, &it)+1) / time.Duration(limit)
 	if len(qu.items) >= maxQueued || now.Add(wait).After(it.expires) {
 		return false
 	}
@@ -94,7 +85,7 @@
 
 // timely reports whether the opening can still be answered within its goal.
 func (qu *queue) timely(now time.Time, it *queued) bool {
-	return it.goal.IsZero() || !now.Add(qu.service+callerRoundTrip).After(it.goal)
+	return it.goal.IsZero() || !now.Add(qu.service.value()+callerRoundTrip).After(it.goal)
 }
 
 // before reports whether the opening a goes before b.
--- a/internal/coordination/carriage/world_test.go
+++ b/internal/coordination/carriage/world_test.go
@@ -192,7 +192,7 @@
 		if ho.gate != nil {
 			re := ho.gate.Report(wo.now)
 			wo.order++
-			list = append(list, Agent{Revision: register.Revision{Incarnation: 1, Sequence: uint64(wo.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots})
+			list = append(list, Agent{Revision: register.Revision{Incarnation: 1, Sequence: uint64(wo.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime})
 		}
 	}
 	ba.placer.SetOthers(len(wo.balancers) - 1)
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -193,7 +193,7 @@
 		fl.run(time.Second)
 		vi := fl.start(101, 50, []int{1}, nil)
 		fl.run(2 * time.Second)
-		fl.perform(addressOf(101), vi.SetSelf(fl.now, register.StateReady, "yardline", 2))
+		fl.perform(addressOf(101), vi.SetSelf(fl.now, Record{State: register.StateReady, Service: "yardline", Slots: 2}))
 		fl.run(time.Second)
 		So(fl.nodes[addressOf(1)].Records()[0].State, ShouldEqual, register.StateReady)
 	})
@@ -318,7 +318,7 @@
 		fl.bytes = 0
 		for i := range 20 {
 			address := addressOf(101 + i)
-			fl.perform(address, fl.nodes[address].SetSelf(fl.now, register.StateReady, "yardline", 2))
+			fl.perform(address, fl.nodes[address].SetSelf(fl.now, Record{State: register.StateReady, Service: "yardline", Slots: 2}))
 			fl.run(time.Second)
 		}
 		So(fl.bytes/20/len(all), ShouldBeLessThan, budget)
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -35,6 +35,9 @@
 	State register.State
 	// Slots is the number of requests that the host works on at once.
 	Slots uint16
+	// ServiceTime is how long the host takes for a request on average, zero
+	// while it is unknown.
+	ServiceTime time.Duration
 }
 
 // Greeting says that the sender lives and what it knows.
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -137,13 +137,15 @@
 	return list
 }
 
-// SetSelf takes what has changed about the process and tells everyone.
-func (vi *View) SetSelf(now time.Time, st register.State, service string, slots uint16) []Action {
+// SetSelf takes the own record, of which address, role, domain and revision stay
+// as they are, and tells everyone if anything has changed.
+func (vi *View) SetSelf(now time.Time, self Record) []Action {
 	vi.out = vi.out[:0]
-	if vi.self.State == st && vi.self.Service == service && vi.self.Slots == slots {
+	self.Revision, self.Address, self.Role, self.Domain = vi.self.Revision, vi.self.Address, vi.self.Role, vi.self.Domain
+	if vi.self == self {
 		return vi.out
 	}
-	vi.self.State, vi.self.Service, vi.self.Slots = st, service, slots
+	vi.self = self
 	vi.self.Sequence++
 	vi.tellAll()
 	vi.repeatAt = now.Add(repeatAfter)
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -52,7 +52,7 @@
 
 const (
 	flowLength   = 2 * (16 + 2)
-	reportLength = 1 + 2 + 2 + 8
+	reportLength = 1 + 2 + 2 + 2 + 8
 	carryLength  = 1 + 1 + 4 + 8 + 2
 )
 
@@ -72,20 +72,28 @@
 	// Version is that of the balancer's routes.
 	Version uint64
 	// Waited is how long ago the caller sent the first copy of an opening, in
-	// whole milliseconds and at most MaxWaited.
+	// whole milliseconds and at most MaxTold.
 	Waited time.Duration
 }
 
-// MaxWaited is the longest time that Carry tells.
-const MaxWaited = (1<<16 - 1) * time.Millisecond
+// MaxTold is the longest time that a message tells.
+const MaxTold = (1<<16 - 1) * time.Millisecond
+
+func appendMilliseconds(buffer []byte, told time.Duration) []byte {
+	told = max(min(told, MaxTold), 0)
+	return binary.BigEndian.AppendUint16(buffer, uint16(told.Milliseconds()))
+}
+
+func decodeMilliseconds(data []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint16(data)) * time.Millisecond
+}
 
 // AppendCarry appends a KindCarry message.
 func AppendCarry(buffer []byte, ca Carry, packet []byte) []byte {
 	buffer = append(buffer, byte(KindCarry), byte(ca.Urgency))
 	buffer = binary.BigEndian.AppendUint32(buffer, ca.Tag)
 	buffer = binary.BigEndian.AppendUint64(buffer, ca.Version)
-	waited := max(min(ca.Waited, MaxWaited), 0)
-	buffer = binary.BigEndian.AppendUint16(buffer, uint16(waited.Milliseconds()))
+	buffer = appendMilliseconds(buffer, ca.Waited)
 	return append(buffer, packet...)
 }
 
@@ -98,7 +106,7 @@
 		Urgency: carriage.Urgency(datagram[1]),
 		Tag:     binary.BigEndian.Uint32(datagram[2:]),
 		Version: binary.BigEndian.Uint64(datagram[6:]),
-		Waited:  time.Duration(binary.BigEndian.Uint16(datagram[14:])) * time.Millisecond,
+		Waited:  decodeMilliseconds(datagram[14:]),
 	}, datagram[carryLength:], nil
 }
 
@@ -106,6 +114,7 @@
 	buffer = append(buffer, byte(re.State))
 	buffer = binary.BigEndian.AppendUint16(buffer, re.InProgress)
 	buffer = binary.BigEndian.AppendUint16(buffer, re.Slots)
+	buffer = appendMilliseconds(buffer, re.ServiceTime)
 	return binary.BigEndian.AppendUint64(buffer, re.Version)
 }
 
@@ -114,10 +123,11 @@
 		return carriage.Report{}, ErrMalformed
 	}
 	return carriage.Report{
-		State:      register.State(datagram[0]),
-		InProgress: binary.BigEndian.Uint16(datagram[1:]),
-		Slots:      binary.BigEndian.Uint16(datagram[3:]),
-		Version:    binary.BigEndian.Uint64(datagram[5:]),
+		State:       register.State(datagram[0]),
+		InProgress:  binary.BigEndian.Uint16(datagram[1:]),
+		Slots:       binary.BigEndian.Uint16(datagram[3:]),
+		ServiceTime: decodeMilliseconds(datagram[5:]),
+		Version:     binary.BigEndian.Uint64(datagram[7:]),
 	}, nil
 }
 
--- a/internal/protocol/waybill/waybill_test.go
+++ b/internal/protocol/waybill/waybill_test.go
@@ -18,7 +18,7 @@
 		Caller:  netip.MustParseAddrPort("100.64.0.7:40001"),
 		Service: netip.MustParseAddrPort("198.18.0.1:443"),
 	}
-	sampleReport = carriage.Report{State: register.StateWarming, InProgress: 3, Slots: 2, Version: 1 << 40}
+	sampleReport = carriage.Report{State: register.StateWarming, InProgress: 3, Slots: 2, ServiceTime: 21 * time.Millisecond, Version: 1 << 40}
 )
 
 func TestMessagesSurviveTheWire(t *testing.T) {
@@ -58,7 +58,7 @@
 	Convey("A wait is cut to what the message can tell", t, func() {
 		ca, _, err := DecodeCarry(AppendCarry(nil, Carry{Waited: time.Hour}, nil))
 		So(err, ShouldBeNil)
-		So(ca.Waited, ShouldEqual, MaxWaited)
+		So(ca.Waited, ShouldEqual, MaxTold)
 		ca, _, err = DecodeCarry(AppendCarry(nil, Carry{Waited: -time.Hour}, nil))
 		So(err, ShouldBeNil)
 		So(ca.Waited, ShouldEqual, 0)
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -319,6 +319,9 @@
 // announce spreads the state of the host.
 func (ag *Agent) announce(now time.Time) {
 	re := ag.gate.Report(now)
-	klog.InfoS("Host state", "state", re.State, "service", ag.gate.Service(), "slots", re.Slots)
-	ag.perform(now, ag.view.SetSelf(now, re.State, ag.gate.Service(), re.Slots))
+	klog.InfoS("Host state", "state", re.State, "service", ag.gate.Service(), "slots", re.Slots,
+		"serviceTime", re.ServiceTime.Round(time.Millisecond))
+	ag.perform(now, ag.view.SetSelf(now, members.Record{
+		State: re.State, Service: ag.gate.Service(), Slots: re.Slots, ServiceTime: re.ServiceTime.Round(time.Millisecond),
+	}))
 }
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -71,7 +71,7 @@
 	no.heard = func(now time.Time, from netip.AddrPort) { ba.act(now, ba.placer.Heard(now, from)) }
 	no.changed = ba.setAgents
 	no.rerouted = func(now time.Time, ro *catalog.Routes) { ba.act(now, ba.placer.SetRoutes(now, ro)) }
-	no.view.SetSelf(no.started, register.StateReady, "", 0)
+	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
 	return ba, nil
 }
 
@@ -90,7 +90,7 @@
 		},
 		leave: func(now time.Time) {
 			ba.leaving = true
-			ba.perform(now, ba.view.SetSelf(now, register.StateDraining, "", 0))
+			ba.perform(now, ba.view.SetSelf(now, members.Record{State: register.StateDraining}))
 		},
 		idle:  func(now time.Time) bool { return now.Sub(ba.lastPacket) > quietBeforeStop },
 		least: leastStop,
@@ -116,7 +116,7 @@
 		}
 		list = append(list, carriage.Agent{
 			Revision: re.Revision, Address: re.Address, Service: re.Service, Domain: re.Domain,
-			State: re.State, Slots: re.Slots,
+			State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime,
 		})
 	}
 	ba.placer.SetOthers(others)
