fix(route): find plain flows after the crash of the host that passed them on

Ruled out: searching all hosts for each flow after a loss (plain flows have no opening packet, so each new flow would wait for it).

Change: a table keeps the highest weight of each host; when a host ends, up to 16 hosts that had more weight are asked again for a HolderWindow, and in the buckets of the lost host all holders count, owners or not. TestFlowsOutliveTheHostThatPassedThemOn failed before.

--- a/internal/coordination/route/chain.go
+++ b/internal/coordination/route/chain.go
@@ -155,6 +155,12 @@
 		}
 	}
 
+	owned := lost < takers[1].cost
+	if owned {
+		// The lost host kept pointers to flows that it had offered to others,
+		// which need not have owned the bucket.
+		bound = noCost
+	}
 	holders := noBest()
 	for i := range sv.unsettled {
 		un := &sv.unsettled[i]
@@ -168,14 +174,9 @@
 	if steady[0].cost <= bound {
 		holders.insert(steady[0])
 	}
-	if sv.fresh {
+	if sv.fresh || owned {
 		holders.insert(steady[1])
 	}
-	if takers[0].cost < lost && lost < takers[1].cost {
-		// The lost host kept pointers to flows that it had offered to its
-		// second choice, which is the present one.
-		holders.insert(takers[1])
-	}
 	return sv.join(&takers, &holders)
 }
 
--- a/internal/coordination/route/edit.go
+++ b/internal/coordination/route/edit.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -117,19 +118,54 @@
 		}
 		slot = sv.takeSlot(Candidate{Address: ho.Address, Incarnation: ho.Incarnation})
 	}
-	sv.members[slot].Incarnation = ho.Incarnation
+	me := &sv.members[slot]
+	me.Incarnation = ho.Incarnation
+	if restarted {
+		// The flows of the former incarnation have ended.
+		me.peak = 0
+	}
+	if ho.State.TakesNewWork() {
+		me.notePeak(inverseOf(ho.Weight))
+	}
 	if ed.fresh && ho.State.TakesNewWork() && ho.Weight > 0 {
 		sv.insertSettled(slot, rank{seed: ed.key.seed(ho.Service, ho.Address), inverse: inverseOf(ho.Weight)})
 		return
 	}
 	un := sv.unsettle(slot, ed.key.seed(ho.Service, ho.Address))
 	if restarted {
-		// The flows of the former incarnation have ended.
 		un.lowest = 0
 	}
 	un.apply(ho)
 	un.deadline = ed.now.Add(HolderWindow)
 	sv.putUnsettled(un)
+	if un.gone || restarted {
+		ed.recall(sv)
+	}
+}
+
+// maxRecalled bounds the settled hosts that are asked again after a loss: each
+// one costs every packet of the service a comparison.
+const maxRecalled = 16
+
+// recall asks hosts again that have lost weight at any time, those first that
+// have lost most: the host that has ended may have been the only one to know of
+// their flows.
+func (ed *edit) recall(sv *service) {
+	lost := sv.reduced()
+	for _, slot := range lost[:min(len(lost), maxRecalled)] {
+		me := &sv.members[slot]
+		un := sv.unsettle(slot, ed.key.seed(sv.id, me.Address))
+		un.lowest = me.peak
+		un.deadline = ed.now.Add(HolderWindow)
+		sv.putUnsettled(un)
+	}
+	for i := range sv.unsettled {
+		un := &sv.unsettled[i]
+		if peak := sv.members[un.slot].peak; !un.gone && peak != 0 && un.lowest != 0 {
+			un.lowest = min(un.lowest, peak)
+			un.deadline = ed.now.Add(HolderWindow)
+		}
+	}
 }
 
 // apply changes the host's weight and widens the range of its weights.
@@ -151,6 +187,24 @@
 	}
 }
 
+// reduced returns the settled hosts whose weight was higher once, the one that
+// has lost most first.
+func (sv *service) reduced() []uint16 {
+	var slots []uint16
+	loss := func(slot uint16) float64 {
+		return float64(sv.settled[slot].inverse) / float64(sv.members[slot].peak)
+	}
+	for slot := range sv.settled {
+		if peak := sv.members[slot].peak; peak != 0 && peak < sv.settled[slot].inverse {
+			slots = append(slots, uint16(slot))
+		}
+	}
+	slices.SortFunc(slots, func(a, b uint16) int {
+		return cmp.Or(cmp.Compare(loss(b), loss(a)), cmp.Compare(a, b))
+	})
+	return slots
+}
+
 func (sv *service) slotOf(address netip.AddrPort) (uint16, bool) {
 	for slot := range sv.members {
 		if sv.members[slot].used && sv.members[slot].Address == address {
--- a/internal/coordination/route/regress_test.go
+++ b/internal/coordination/route/regress_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 func TestDoubledPacketKeepsItsChain(t *testing.T) {
@@ -31,6 +33,41 @@
 	})
 }
 
+func TestFlowsOutliveTheHostThatPassedThemOn(t *testing.T) {
+	Convey("After a crash the former owner of a bucket is asked, however long ago it lost weight", t, func() {
+		now := testStart
+		ta := NewTable(testKey, now.Add(-HolderWindow), readyHosts(3)).Next(now, nil)
+		owner := func(caller int) Candidate { return ta.Candidates(testService, callerAddress(caller)).Hosts[0] }
+		var held []int
+		for caller := range 2000 {
+			if owner(caller).Address == hostAddress(1) {
+				held = append(held, caller)
+			}
+		}
+		reduced := readyHost(1)
+		reduced.Weight, reduced.Sequence = 5, 2
+		joined := readyHost(3)
+		ta = ta.Next(now, []register.Host{reduced, joined})
+		now = now.Add(HolderWindow)
+		ta = ta.Next(now, nil)
+		var passed []int
+		for _, caller := range held {
+			if owner(caller).Address == joined.Address {
+				passed = append(passed, caller)
+			}
+		}
+		So(len(passed), ShouldBeGreaterThan, 50)
+		joined.State, joined.Sequence = register.StateGone, 2
+		ta = ta.Next(now, []register.Host{joined})
+		for _, caller := range passed {
+			ch := ta.Candidates(testService, callerAddress(caller))
+			So(ch.Hosts[:ch.Asked], ShouldContain, Candidate{Address: hostAddress(1), Incarnation: 1})
+		}
+		settled := ta.Next(now.Add(HolderWindow), nil)
+		So(settled.Candidates(testService, callerAddress(passed[0])).Asked, ShouldEqual, 1)
+	})
+}
+
 func TestPointersToReassignedHostsAreVoid(t *testing.T) {
 	Convey("A flow isn't sent to a host that serves another service now", t, func() {
 		fl := NewFlowTable(readyHost(0), testKey, testStart, 10)
--- a/internal/coordination/route/service.go
+++ b/internal/coordination/route/service.go
@@ -15,6 +15,16 @@
 type member struct {
 	Candidate
 	used bool
+	// peak is the inverse of the highest weight that the host has had since it
+	// started, zero if it took no new work.
+	peak uint64
+}
+
+// notePeak takes a weight of the host.
+func (me *member) notePeak(inverse uint64) {
+	if inverse != 0 && (me.peak == 0 || inverse < me.peak) {
+		me.peak = inverse
+	}
 }
 
 // rank is what the cost of a host follows from.
