fix(carriage): an agent claims no flow of an address of another service

Ruled out: the balancer waiting for its routes (while the store is away after a restart of everything nobody would find open flows).

TestAgentOfAnotherServiceHoldsNoFlow failed before.

--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -197,6 +197,26 @@
 	})
 }
 
+func TestAgentOfAnotherServiceHoldsNoFlow(t *testing.T) {
+	Convey("A restarted agent claims and tries no flow of an address that its service doesn't own", t, func() {
+		for _, service := range []string{worldService, "ledgerwash"} {
+			ga := NewGate(began, GateSettings{HeartbeatInterval: worldBeat, FlowLifetime: time.Minute})
+			ga.SetRoutes(newWorld(1, 1, 1).routes)
+			ga.CheckIn(began, CheckIn{Name: "h", Born: began, Sequence: newbornSequence + 1, Service: service, Slots: 2})
+			flow := Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: worldAddress}
+			claims := len(ga.Find(began, netip.AddrPort{}, flow, 1))
+			list := ga.FromBalancer(began, Offer{Packet: Packet{Flow: flow}, Urgency: UrgencyTry}, nil)
+			if service == worldService {
+				So(claims, ShouldEqual, 1)
+				So(list[0].Kind, ShouldEqual, KindDeliver)
+			} else {
+				So(claims, ShouldEqual, 0)
+				So(list[0].Kind, ShouldEqual, KindDecline)
+			}
+		}
+	})
+}
+
 func TestDrainingHost(t *testing.T) {
 	Convey("A leaving host gets no new flow after its grace and keeps the open ones", t, func() {
 		wo := newWorld(6, 3, 3)
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -247,7 +247,7 @@
 
 // unheld handles a packet of a flow that the agent doesn't know.
 func (ga *Gate) unheld(now time.Time, of Offer, data []byte) {
-	if of.Urgency != UrgencyTry || !ga.mayHold(now) {
+	if of.Urgency != UrgencyTry || !ga.mayHold(now, of.Flow) {
 		ga.decline(of, data, ReasonNotHeld)
 		return
 	}
@@ -300,7 +300,7 @@
 	ga.out = ga.out[:0]
 	el, ok := ga.flows.entries[flow]
 	if !ok {
-		if ga.mayHold(now) {
+		if ga.mayHold(now, flow) {
 			ga.out = append(ga.out, Action{Kind: KindHeld, To: from, Flow: flow})
 		}
 		return ga.out
@@ -313,10 +313,20 @@
 	return ga.out
 }
 
-// mayHold reports whether the host may hold flows that the agent doesn't know:
-// those that are older than the agent.
-func (ga *Gate) mayHold(now time.Time) bool {
-	return ga.elder && now.Sub(ga.started) < ga.lifetime
+// mayHold reports whether the host may hold a flow that the agent doesn't know:
+// one that is older than the agent, to an address of the host's service.
+func (ga *Gate) mayHold(now time.Time, flow Flow) bool {
+	return ga.elder && now.Sub(ga.started) < ga.lifetime && !ga.ofOtherService(flow)
+}
+
+// ofOtherService reports whether the flow's address belongs to other services
+// than the host's. A balancer that doesn't know the routes yet asks all agents.
+func (ga *Gate) ofOtherService(flow Flow) bool {
+	if ga.routes == nil {
+		return false
+	}
+	ro, ok := ga.routes.Addresses[flow.Service]
+	return ok && ga.known && !ro.Services.Contains(ga.host.Service)
 }
 
 // Deadline returns when Tick is due.
