fix(carriage): a leaving host that has fallen silent takes no flow

Two openings reached the host 3.7 s after it had said that it leaves (promise 3 s, grace 2 s).

Change: whether the host leaves is asked apart from its state. The new case of TestDrainingHost failed before.

--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -240,6 +240,21 @@
 		So(wo.openedAfterDrain, ShouldEqual, 0)
 		So(wo.deliveries, ShouldEqual, 0)
 	})
+	Convey("A leaving host that has fallen silent gets no new flow after its grace", t, func() {
+		ga := NewGate(began, GateSettings{HeartbeatInterval: worldBeat, OpeningTimeout: worldPatient})
+		ci := CheckIn{Name: "h", Born: began, Sequence: 1, Service: worldService, Slots: 2}
+		ga.CheckIn(began, ci)
+		ci.Sequence, ci.Draining = 2, true
+		ga.CheckIn(began, ci)
+		now := began.Add(checkInsMissed * worldBeat)
+		ga.Tick(now)
+		So(ga.Report(now).State, ShouldEqual, register.State(0))
+		flow := Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: worldAddress}
+		of := Offer{Packet: Packet{Flow: flow, Opening: true}, Urgency: UrgencyTake, Started: now, Tag: serviceTag(worldService)}
+		list := ga.FromBalancer(now, of, nil)
+		So(list[0].Kind, ShouldEqual, KindDecline)
+		So(list[0].Reason, ShouldEqual, ReasonDraining)
+	})
 	Convey("An opening that no host may take is refused at once", t, func() {
 		wo := newWorld(7, 1, 2)
 		wo.runUntil(began.Add(startupTime + time.Second))
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
-	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 // opening handles an opening packet.
@@ -112,7 +111,7 @@
 	switch {
 	case ga.gone:
 		return ReasonDraining
-	case st == register.StateDraining && !ga.mayTakeLate(now, of):
+	case (ga.leaving || ga.host.Draining) && !ga.mayTakeLate(now, of):
 		return ReasonDraining
 	case st == 0 && (!ga.known || of.Urgency != UrgencyTake):
 		return ReasonHostUnknown
