fix(delivery): an agent's first view waits for no budget, nor for a dead publisher

(2) An agent stayed with a publisher that had stopped for its whole term of 10 s, and often drew the next dead one.

--- a/internal/coordination/delivery/gossip.go
+++ b/internal/coordination/delivery/gossip.go
@@ -18,6 +18,9 @@
 	RepairInterval = 300 * time.Millisecond
 	// SubscribeInterval is the time between two renewals of a subscription.
 	SubscribeInterval = 2 * time.Second
+	// ResubscribeInterval is the time until a subscriber whose peer can't be
+	// reached subscribes to another.
+	ResubscribeInterval = 200 * time.Millisecond
 	// SubscriptionLifetime is how long a subscription lasts without renewal.
 	SubscriptionLifetime = 6 * time.Second
 	// SubscriptionTerm is how long a subscriber stays with one peer, so that
@@ -50,6 +53,8 @@
 	address   netip.AddrPort
 	interests []Interest
 	deadline  time.Time
+	// credit is what is left of FirstViewBytes.
+	credit int
 }
 
 // Gossip is the core of one node.
@@ -59,13 +64,16 @@
 	table         *Table
 	neighbours    neighbourhood
 	outbox        outbox
+	firstViews    *Bucket
 	subscribers   []*subscriber
 	nextDigest    time.Time
 	nextSubscribe time.Time
 	// publisher is the peer that this node subscribes to until the deadline.
 	publisher         netip.AddrPort
 	publisherDeadline time.Time
-	turn              int
+	// failed is the publisher that could not be reached last.
+	failed netip.AddrPort
+	turn   int
 }
 
 // New returns the core of a node that knows no item and no peer.
@@ -76,6 +84,7 @@
 		table:      NewTable(),
 		neighbours: neighbourhood{self: se.Self},
 		outbox:     outbox{queues: make(map[netip.AddrPort]*pending)},
+		firstViews: NewBucket(FirstViewsBytesPerSecond, FirstViewsBurstBytes, now),
 		nextDigest: now.Add(time.Duration(rng.Int64N(int64(DigestInterval)))),
 	}
 }
@@ -147,6 +156,17 @@
 	return nil
 }
 
+// Failed tells that a message could not be sent to the peer. A subscriber leaves
+// a publisher that can't be reached.
+func (gs *Gossip) Failed(peer netip.AddrPort, now time.Time) {
+	if len(gs.settings.Interests) == 0 || peer != gs.publisher || !now.Before(gs.publisherDeadline) {
+		return
+	}
+	gs.failed = peer
+	gs.publisherDeadline = now
+	gs.nextSubscribe = now.Add(ResubscribeInterval)
+}
+
 // Tick sends what waits as far as the budget goes, and starts a digest or a
 // subscription when one is due.
 func (gs *Gossip) Tick(now time.Time) []Action {
@@ -264,7 +284,7 @@
 
 // flushTo sends one message of what waits for the peer.
 func (gs *Gossip) flushTo(acts []Action, to netip.AddrPort, urgentOnly bool, now time.Time) []Action {
-	limit := min(gs.settings.Bucket.Available(now, LivenessReserveBytes), MaxMessageBytes)
+	limit := min(max(gs.settings.Bucket.Available(now, LivenessReserveBytes), gs.credit(to, now)), MaxMessageBytes)
 	items := gs.outbox.queues[to].collect(gs.table, limit-messageOverhead, urgentOnly, now)
 	if len(items) == 0 {
 		return acts
@@ -272,10 +292,31 @@
 	return gs.send(acts, to, Message{Delta: &Delta{Items: items}}, now)
 }
 
-// send appends the message if the budget allows it.
+// send appends the message if the credit of a new subscriber, or the budget,
+// allows it.
 func (gs *Gossip) send(acts []Action, to netip.AddrPort, msg Message, now time.Time) []Action {
-	if !gs.settings.Bucket.Take(now, msg.Size(), LivenessReserveBytes) {
+	firstView := gs.takeCredit(to, msg.Size(), now)
+	if !firstView && !gs.settings.Bucket.Take(now, msg.Size(), LivenessReserveBytes) {
 		return acts
 	}
-	return append(acts, Send{To: to, Message: msg})
+	return append(acts, Send{To: to, Message: msg, FirstView: firstView})
+}
+
+// credit returns how many message bytes the peer may get apart from the budget.
+func (gs *Gossip) credit(to netip.AddrPort, now time.Time) int {
+	sub := gs.subscription(to)
+	if sub == nil || sub.credit == 0 {
+		return 0
+	}
+	return min(sub.credit, gs.firstViews.Available(now, 0))
+}
+
+// takeCredit spends the bytes from the credit of a new subscriber and reports
+// whether it did.
+func (gs *Gossip) takeCredit(to netip.AddrPort, bytes int, now time.Time) bool {
+	if gs.credit(to, now) < bytes || !gs.firstViews.Take(now, bytes, 0) {
+		return false
+	}
+	gs.subscription(to).credit -= bytes
+	return true
 }
--- a/internal/coordination/delivery/item.go
+++ b/internal/coordination/delivery/item.go
@@ -2,7 +2,8 @@
 // gossip: deltas to a few neighbours, urgent ones first and at once, and
 // periodic digests that find and repair what deltas missed. Everything that a
 // node sends is charged to a token bucket, so no fault can make it send more
-// than its budget.
+// than its budget; the first view of a new subscriber has a bounded bucket of
+// its own, as a process without a view hears of nothing.
 //
 // An item is opaque here. Its kind says who interprets the body: host and
 // balancer records, removals, the version of the configuration, counts of
--- a/internal/coordination/delivery/message.go
+++ b/internal/coordination/delivery/message.go
@@ -113,6 +113,8 @@
 type Send struct {
 	To      netip.AddrPort
 	Message Message
+	// FirstView says that the message was not charged to the budget.
+	FirstView bool
 }
 
 // Accept tells that an item received from another node is new or newer.
--- a/internal/coordination/delivery/peers.go
+++ b/internal/coordination/delivery/peers.go
@@ -166,14 +166,25 @@
 
 // random returns one of the neighbours that this node chose.
 func (nh *neighbourhood) random(rng *rand.Rand) (Peer, bool) {
+	return nh.randomBut(netip.AddrPort{}, rng)
+}
+
+// randomBut returns a random neighbour that this node chose, the avoided one only
+// if there is no other.
+func (nh *neighbourhood) randomBut(avoided netip.AddrPort, rng *rand.Rand) (Peer, bool) {
 	var own []Peer
+	last, found := Peer{}, false
 	for _, ne := range nh.chosen {
-		if ne.chosen {
+		switch {
+		case !ne.chosen:
+		case ne.Address == avoided:
+			last, found = ne.Peer, true
+		default:
 			own = append(own, ne.Peer)
 		}
 	}
 	if len(own) == 0 {
-		return Peer{}, false
+		return last, found
 	}
 	return own[rng.IntN(len(own))], true
 }
--- a/internal/coordination/delivery/repair.go
+++ b/internal/coordination/delivery/repair.go
@@ -184,7 +184,7 @@
 	if now.Before(gs.publisherDeadline) && gs.neighbours.picked(gs.publisher) {
 		return true
 	}
-	pe, ok := gs.neighbours.random(gs.rng)
+	pe, ok := gs.neighbours.randomBut(gs.failed, gs.rng)
 	gs.publisher = pe.Address
 	gs.publisherDeadline = now.Add(SubscriptionTerm)
 	return ok
@@ -201,7 +201,7 @@
 		if len(gs.subscribers) >= MaxSubscribers {
 			return nil
 		}
-		sub = &subscriber{address: from}
+		sub = &subscriber{address: from, credit: FirstViewBytes}
 		gs.subscribers = append(gs.subscribers, sub)
 	}
 	sub.interests = su.Interests
--- a/internal/coordination/membership/interest.go
+++ b/internal/coordination/membership/interest.go
@@ -39,11 +39,12 @@
 func (in interest) list() []delivery.Interest {
 	first := in.cell &^ (in.cells - 1)
 	last := first + in.cells - 1
+	// The balancers come first: without a live one an agent hears of nothing.
 	return []delivery.Interest{
-		{Kind: delivery.KindHost, First: in.service, Last: in.service},
-		{Kind: delivery.KindHostRemoval, First: in.service, Last: in.service},
 		{Kind: delivery.KindBalancer, First: first, Last: last},
 		{Kind: delivery.KindBalancerRemoval, First: first, Last: last},
+		{Kind: delivery.KindHost, First: in.service, Last: in.service},
+		{Kind: delivery.KindHostRemoval, First: in.service, Last: in.service},
 		{Kind: delivery.KindConfiguration, First: delivery.ScopeAll, Last: delivery.ScopeAll},
 	}
 }
--- a/internal/coordination/membership/node.go
+++ b/internal/coordination/membership/node.go
@@ -45,6 +45,8 @@
 type Send struct {
 	To      netip.AddrPort
 	Message Message
+	// FirstView says that the message was not charged to the budget.
+	FirstView bool
 }
 
 // Changed tells that the view changed: a caller that derives a table from the
@@ -252,6 +254,7 @@
 
 // Failed tells that a message could not be sent to the peer.
 func (no *Node) Failed(peer netip.AddrPort, now time.Time) []Action {
+	no.gossip.Failed(peer, now)
 	if no.joiner == nil {
 		return nil
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -41,8 +41,10 @@
 	Joined time.Time
 	// TransferBytes is what the node sent as a donor.
 	TransferBytes int
+	// FirstViewBytes is what new subscribers got from the node.
+	FirstViewBytes int
 
-	// SentBytes is what the node sent without transfers, framing included;
+	// SentBytes is all else that the node sent, framing included;
 	// Most is the largest part of it within one second.
 	SentBytes int
 	Most      int
@@ -62,9 +64,13 @@
 	bytes int
 }
 
-// account books the bytes of a message to the transfers or to the budget.
-func (nd *Node) account(msg membership.Message, now time.Time) {
+// account books the bytes of a message to the transfers, the first views or the
+// budget.
+func (nd *Node) account(act membership.Send, now time.Time) {
+	msg := act.Message
 	switch {
+	case act.FirstView:
+		nd.FirstViewBytes += msg.Gossip.Size() + delivery.FrameOverheadBytes
 	case msg.Transfer != nil:
 		nd.TransferBytes += msg.Transfer.Size() + delivery.FrameOverheadBytes
 	case msg.Gossip != nil:
@@ -306,7 +312,7 @@
 	for _, act := range acts {
 		switch act := act.(type) {
 		case membership.Send:
-			nd.account(act.Message, fl.Now)
+			nd.account(act, fl.Now)
 			if to := fl.nodes[act.To]; to != nil && !fl.muted {
 				fl.send(nd, to, act.Message, fl.Now)
 			}
--- a/internal/standin/fleet/property_test.go
+++ b/internal/standin/fleet/property_test.go
@@ -56,6 +56,10 @@
 		if sent := float64(nd.SentBytes); sent > bound {
 			return fmt.Errorf("%s sent %.0f bytes in %.1f s", nd.Address, sent, span)
 		}
+		views := delivery.FirstViewsBurstBytes + delivery.FirstViewsBytesPerSecond*span
+		if sent := float64(nd.FirstViewBytes); sent > views {
+			return fmt.Errorf("%s sent %.0f bytes of first views in %.1f s", nd.Address, sent, span)
+		}
 		if nd.Most > delivery.BudgetBurstBytes+delivery.BudgetBytesPerSecond {
 			return fmt.Errorf("%s sent %d bytes within a second", nd.Address, nd.Most)
 		}
