--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -73,6 +73,8 @@
 	Attempt int
 	// InProgress is the load on which the choice of a host was based.
 	InProgress float64
-	// Reported is when that load was reported, zero if it never was.
+	// ServiceTime is how long the chosen host takes for a request, zero if unknown.
+	ServiceTime time.Duration
+	// Reported is when load and service time were reported, zero if they never were.
 	Reported time.Time
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -291,7 +291,7 @@
 	pl.noteSlow(now, ag)
 	pl.carry(ag, pa.flow, pa.opening, Action{
 		Urgency: ur, Tag: serviceTag(pa.service), Opening: true, Attempt: len(pa.tried),
-		InProgress: ag.estimate(now), Reported: ag.reported, Started: pa.started(),
+		InProgress: ag.estimate(now), ServiceTime: ag.report.ServiceTime, Reported: ag.reported, Started: pa.started(),
 	})
 	pl.wait(pa, now.Add(ConfirmTimeout))
 }
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -238,7 +238,7 @@
 	}
 	ba.board.Count("Openings", 1)
 	klog.InfoS("Opening placed", "flow", ac.Flow, "agent", ac.To, "attempt", ac.Attempt, "urgency", ac.Urgency,
-		"inProgress", ac.InProgress, "reportAge", age(now, ac.Reported), "version", ca.Version)
+		"inProgress", ac.InProgress, "serviceTime", ac.ServiceTime, "reportAge", age(now, ac.Reported), "version", ca.Version)
 }
 
 // reset tells the caller that its flow is refused or lost.
