perf(carriage): the usual service time is looked up once an opening

Cause: since service times count, each opening looked the service's median up for every host.

Change: one look-up an opening; the choice is the same.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -77,9 +77,10 @@
 	return float64(ag.report.InProgress)*decay + float64(ag.sent)
 }
 
-// cost is lower for the better host of a new flow.
-func (pl *Placer) cost(now time.Time, ag *agent) float64 {
-	cost := (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * pl.slowness(now, ag)
+// cost is lower for the better host of a new flow. Usual is what the hosts of
+// the service take for a request.
+func (pl *Placer) cost(now time.Time, ag *agent, usual time.Duration) float64 {
+	cost := (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * ag.slowness(now, usual)
 	if ag.report.State == register.StateWarming {
 		cost *= warmingCost
 	}
@@ -145,13 +146,14 @@
 	var best *agent
 	least := math.Inf(1)
 	first := pl.candidatesOf(pa.flow, pa.service)
+	usual := pl.typicalOf(now, pa.service)
 	start := int(pa.flow.Hash() % uint64(len(pool)))
 	for i := range pool {
 		ag := pool[(start+i)%len(pool)]
 		if pa.hasTried(ag) || !ag.mayTake() {
 			continue
 		}
-		cost := pl.cost(now, ag) + ag.reluctance()
+		cost := pl.cost(now, ag, usual) + ag.reluctance()
 		if !first.contains(ag) {
 			cost += strangerCost
 		}
--- a/internal/coordination/carriage/servicetime.go
+++ b/internal/coordination/carriage/servicetime.go
@@ -89,12 +89,11 @@
 	return ty.time
 }
 
-// slowness returns how many times the typical service time the host takes, 1 if
+// slowness returns how many times the usual service time the host takes, 1 if
 // it isn't slow. It answers hosts that turn slow while others have room: a flow
 // there costs its caller more than a short wait elsewhere. A slow host counts as
 // usual once in a while, or nobody would learn that it has recovered.
-func (pl *Placer) slowness(now time.Time, ag *agent) float64 {
-	usual := pl.typicalOf(now, ag.service)
+func (ag *agent) slowness(now time.Time, usual time.Duration) float64 {
 	if usual == 0 || ag.report.ServiceTime < slowRatio*usual || !now.Before(ag.retrySlow) {
 		return 1
 	}
