refactor(carrier): one place notes a message that can't be read

The shared node, the balancer and the agent each counted and logged a refused message in the same two lines. The node does it now for both roles; counter, log line and callers' behaviour are as before.

--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -259,11 +259,6 @@
 	}
 }
 
-func (ag *Agent) refuse(from netip.AddrPort, err error) {
-	ag.board.Count("MessagesRefused", 1)
-	klog.V(1).InfoS("Message refused", "from", from, "err", err)
-}
-
 // act carries out what the gate wants done.
 func (ag *Agent) act(now time.Time, list []carriage.Action) {
 	for i := range list {
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -166,8 +166,7 @@
 		err = waybill.ErrMalformed
 	}
 	if err != nil {
-		ba.board.Count("MessagesRefused", 1)
-		klog.V(1).InfoS("Message refused", "from", from, "err", err)
+		ba.refuse(from, err)
 		return
 	}
 	if re.Version > ba.view.Version() {
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -171,8 +171,7 @@
 	}
 	msg, err := members.Decode(datagram[1:])
 	if err != nil {
-		no.board.Count("MessagesRefused", 1)
-		klog.V(1).InfoS("Message refused", "from", from, "err", err)
+		no.refuse(from, err)
 		return
 	}
 	no.perform(now, no.view.Handle(now, from, msg))
@@ -180,6 +179,12 @@
 	no.schedule(now)
 }
 
+// refuse notes a message that can't be read.
+func (no *node) refuse(from netip.AddrPort, err error) {
+	no.board.Count("MessagesRefused", 1)
+	klog.V(1).InfoS("Message refused", "from", from, "err", err)
+}
+
 // perform carries out what the view wants done.
 func (no *node) perform(now time.Time, list []members.Action) {
 	changed := false
