refactor(delivery): a new subscriber is looked up once for each message

Taking from a subscriber's credit searched the list of up to 1,024 subscribers twice for one message. The subscriber is found once and handed on; what is sent and what it is charged to stay as they were.

Checked: lint, tests of delivery and of the stand-in fleet, whose property test bounds both buckets.

--- a/internal/coordination/delivery/gossip.go
+++ b/internal/coordination/delivery/gossip.go
@@ -284,7 +284,7 @@
 
 // flushTo sends one message of what waits for the peer.
 func (gs *Gossip) flushTo(acts []Action, to netip.AddrPort, urgentOnly bool, now time.Time) []Action {
-	limit := min(max(gs.settings.Bucket.Available(now, LivenessReserveBytes), gs.credit(to, now)), MaxMessageBytes)
+	limit := min(max(gs.settings.Bucket.Available(now, LivenessReserveBytes), gs.credit(gs.subscription(to), now)), MaxMessageBytes)
 	items := gs.outbox.queues[to].collect(gs.table, limit-messageOverhead, urgentOnly, now)
 	if len(items) == 0 {
 		return acts
@@ -302,9 +302,9 @@
 	return append(acts, Send{To: to, Message: msg, FirstView: firstView})
 }
 
-// credit returns how many message bytes the peer may get apart from the budget.
-func (gs *Gossip) credit(to netip.AddrPort, now time.Time) int {
-	sub := gs.subscription(to)
+// credit returns how many message bytes the subscriber, nil for another peer, may
+// get apart from the budget.
+func (gs *Gossip) credit(sub *subscriber, now time.Time) int {
 	if sub == nil || sub.credit == 0 {
 		return 0
 	}
@@ -314,9 +314,10 @@
 // takeCredit spends the bytes from the credit of a new subscriber and reports
 // whether it did.
 func (gs *Gossip) takeCredit(to netip.AddrPort, bytes int, now time.Time) bool {
-	if gs.credit(to, now) < bytes || !gs.firstViews.Take(now, bytes, 0) {
+	sub := gs.subscription(to)
+	if gs.credit(sub, now) < bytes || !gs.firstViews.Take(now, bytes, 0) {
 		return false
 	}
-	gs.subscription(to).credit -= bytes
+	sub.credit -= bytes
 	return true
 }
