feat(carriage): follow the requests inside open flows

Cause: the agent counted a flow as one request in progress from its opening to its end. Callers that keep a flow for many requests so took all of a host's admissions with open, mostly idle flows; later openings waited in the queue until their callers gave up.

Now the agent tells requests from the packets of both directions: new data of the caller begins a request, new data of the host after it begins the answer, and acknowledgements end it. Retransmissions begin nothing. Limits, service times and reports count requests; a report also has the number of requests that open flows bring on average, which the balancers' estimate falls back to between two reports. An agent stops when no request and no answer is in progress.

A reused pair of addresses is a new flow if its opening packet has another sequence number or the former flow has ended.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -35,7 +35,7 @@
 	// KindReturn sends the packet to the caller.
 	KindReturn
 	// KindServed only reports a duration that began at Started. At an agent the
-	// host has finished or reset a flow whose opening was delivered then; at a
+	// host has begun its answer to the request that was delivered then; at a
 	// balancer the agent To has confirmed a flow whose opening arrived first then.
 	KindServed
 	// KindConfirm tells the balancer To that the host has accepted the flow or,
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -79,11 +79,13 @@
 }
 
 // estimate returns the estimated number of requests that the host works on: the
-// reported number, which loses weight with age, and the openings sent since.
+// reported number, which gives way with age to the one expected of open flows, and
+// the openings sent since.
 func (ag *agent) estimate(now time.Time) float64 {
 	age := now.Sub(ag.reported)
 	decay := math.Exp2(-float64(age) / float64(loadHalfLife))
-	return float64(ag.report.InProgress)*decay + float64(ag.sent)
+	expected := ag.report.Expected
+	return expected + (float64(ag.report.InProgress)-expected)*decay + float64(ag.sent)
 }
 
 // cost returns the cost of placing a new flow at the agent's host; the lowest is
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -173,7 +173,7 @@
 		si.crashHost(0)
 		si.startHost(0)
 		for _, ca := range si.callers {
-			si.request(ca, time.Second)
+			si.request(ca, ca.sent, time.Second)
 		}
 		si.runUntil(si.now.Add(100 * time.Millisecond))
 		So(si.refused, ShouldEqual, held)
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -10,7 +10,7 @@
 		return ga.actions, false
 	}
 	if ga.known && !ga.presumed && !ci.StartedAt.Equal(ga.host.StartedAt) {
-		ga.hostRestarted()
+		ga.hostRestarted(now)
 	}
 	if ga.presumed || !ga.known {
 		ga.hostOlder = ga.hostOlder && !ga.startedTogether(ci)
@@ -80,18 +80,20 @@
 
 // hostRestarted marks the open flows of the host's previous start as lost, and
 // forgets the others and the average service time.
-func (ga *Gate) hostRestarted() {
+func (ga *Gate) hostRestarted(now time.Time) {
 	ga.hostOlder = false
 	ga.handshakes = nil
-	ga.queue.service = serviceTime{}
+	ga.queue.service, ga.requests = serviceTime{}, serviceTime{}
+	ga.expected = loadAverage{}
 	for el := ga.flows.order.Front(); el != nil; {
 		next := el.Next()
 		hf := el.Value.(*recentEntry[*hostFlow]).value
 		if hf.stage == stageOpen {
-			ga.setWorking(hf, false)
+			ga.setWorking(now, hf, false)
+			ga.setAnswering(now, hf, false)
 			hf.stage = stageLost
 		} else {
-			ga.forget(hf)
+			ga.forget(now, hf)
 		}
 		el = next
 	}
--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -96,13 +96,15 @@
 		si.fromHost(ho, Packet{Flow: pk.Flow, Resets: true})
 		return
 	}
-	if !fl.open {
-		fl.open = true
+	fl.open = true
+	end := pk.Sequence + uint32(pk.Length)
+	switch {
+	case pk.Length == 0 || fl.finished && end != fl.received:
+	case end > fl.received:
+		fl.received = end
 		ho.waiting = append(ho.waiting, pk.Flow)
 		si.startWork(ho)
-		return
-	}
-	if fl.answered {
+	case fl.answered == fl.received:
 		si.answer(ho, pk.Flow, fl)
 	}
 }
@@ -127,16 +129,22 @@
 				return
 			}
 			ho.working--
-			fl := ho.flows[flow]
-			fl.answered = true
-			si.answer(ho, flow, fl)
+			ho.requests++
+			if fl := ho.flows[flow]; fl != nil {
+				fl.answered = fl.received
+				fl.sent += simAnswerBytes
+				fl.finished = si.callers[flow].keepsUntil.IsZero() || !ho.draining.IsZero()
+				si.answer(ho, flow, fl)
+			}
 			si.startWork(ho)
 		})
 	}
 }
 
+// answer sends the flow's last answer.
 func (si *simulation) answer(ho *simHost, flow Flow, fl *simFlow) {
-	si.fromHost(ho, Packet{Flow: flow, Sequence: fl.initialSequence + 1, Finishes: true})
+	number := fl.initialSequence + 1 + fl.sent - simAnswerBytes
+	si.fromHost(ho, Packet{Flow: flow, Sequence: number, Length: simAnswerBytes, Finishes: fl.finished})
 }
 
 // open lets a caller open a flow: it sends the opening packet up to three times
@@ -189,8 +197,9 @@
 	if pk.Accepting {
 		if !ca.accepted {
 			ca.accepted = true
+			ca.sent = 1
 			ca.number = pk.Sequence + 1
-			si.request(ca, 200*time.Millisecond)
+			si.request(ca, ca.sent, 200*time.Millisecond)
 		}
 		return
 	}
@@ -200,20 +209,61 @@
 		si.wrongAnswers++
 		return
 	}
-	ca.done = true
 	si.served++
 	if si.now.Sub(ca.began) > 100*time.Millisecond {
 		si.lateAnswers++
 	}
+	ca.sent += simRequestBytes
+	ca.number += uint32(pk.Length)
+	switch {
+	case ca.keepsUntil.IsZero():
+		ca.done = true
+	case pk.Finishes:
+		ca.done = true
+		si.closedByHost++
+		si.keep(ca.keepsUntil, ca.pause)
+	default:
+		si.after(si.pauseOf(ca), func() { si.requestAgain(ca) })
+	}
 }
 
+// pauseOf draws the pause between two requests of a caller.
+func (si *simulation) pauseOf(ca *simCaller) time.Duration {
+	return ca.pause/2 + time.Duration(si.random.Int64N(int64(ca.pause)))
+}
+
+// requestAgain sends the next request on a kept flow.
+func (si *simulation) requestAgain(ca *simCaller) {
+	if ca.done || si.now.After(ca.keepsUntil) {
+		ca.done = true
+		return
+	}
+	ca.began = si.now
+	si.request(ca, ca.sent, 200*time.Millisecond)
+}
+
+// keep lets a caller open a flow that it keeps until the given time for requests
+// with the given mean pause between them.
+func (si *simulation) keep(until time.Time, pause time.Duration) *simCaller {
+	if si.now.After(until) {
+		return nil
+	}
+	si.kept++
+	ca := si.open(simKeptCallers + si.kept)
+	ca.keepsUntil, ca.pause = until, pause
+	return ca
+}
+
+// simKeptCallers is the number from which callers that keep flows are numbered.
+const simKeptCallers = 30000
+
 // callerBudget is how long after its first packet a caller repeats its request.
 const callerBudget = 8 * time.Second
 
-// request sends the request and repeats it with a doubling interval until it is
+// request sends the request that begins at the sequence number and repeats it with a doubling interval until it is
 // answered.
-func (si *simulation) request(ca *simCaller, again time.Duration) {
-	if ca.done {
+func (si *simulation) request(ca *simCaller, sent uint32, again time.Duration) {
+	if ca.done || ca.sent != sent {
 		return
 	}
 	if si.now.Sub(ca.began) > callerBudget {
@@ -221,8 +271,8 @@
 		si.failed++
 		return
 	}
-	si.fromCaller(Packet{Flow: ca.flow, Sequence: 1, Acknowledged: ca.number})
-	si.after(again, func() { si.request(ca, min(2*again, 1600*time.Millisecond)) })
+	si.fromCaller(Packet{Flow: ca.flow, Sequence: sent, Length: simRequestBytes, Acknowledged: ca.number})
+	si.after(again, func() { si.request(ca, sent, min(2*again, 1600*time.Millisecond)) })
 }
 
 // resetCaller simulates a caller that receives a reset from a balancer.
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -1,6 +1,7 @@
 package carriage
 
 import (
+	"container/list"
 	"net/netip"
 	"time"
 
@@ -35,8 +36,6 @@
 	// The time doubles with each ejection.
 	minEjection = 200 * time.Millisecond
 	maxEjection = 1600 * time.Millisecond
-	// workTimeout is how long a flow without packets counts as in progress.
-	workTimeout = 2 * time.Second
 	// maxHostFlows bounds the flows that an agent remembers.
 	maxHostFlows = 1 << 14
 )
@@ -88,9 +87,20 @@
 	// initialSequence is the sequence number of the packet with which the host
 	// accepted the flow.
 	initialSequence uint32
-	// working says that the flow counts as in progress: its request is not yet
-	// answered.
-	working bool
+	// openingSequence is the sequence number of the opening packet. It is the same in
+	// all copies.
+	openingSequence uint32
+	exchange        exchange
+	// working says that the flow counts as in progress: its opening or its request
+	// is not yet answered. answering says that the host has sent data that the
+	// caller has not acknowledged.
+	working, answering bool
+	// closed says that the host has ended the flow.
+	closed bool
+	// touched is when the last packet of an active flow was seen; element is its
+	// position in the list of active flows, nil if it isn't in it.
+	touched time.Time
+	element *list.Element
 	// opened is when the opening was delivered to the host, zero if unknown.
 	opened time.Time
 	// located says, in stageTentative, that the balancer knew the flow to be here.
@@ -132,10 +142,17 @@
 	resets int
 	// hostOlder says that the host may have started before the agent and hold
 	// flows that the agent doesn't know.
-	hostOlder       bool
-	flows           recent[*hostFlow]
-	queue           queue
-	flowsInProgress int
+	hostOlder bool
+	flows     recent[*hostFlow]
+	queue     queue
+	// inProgress counts the flows that are working; active lists those that are
+	// working or answering, the one without packets for the longest time first.
+	inProgress int
+	active     list.List
+	// requests is how long the host takes for a request. expected is the average
+	// number of requests in progress that open flows have brought after their first.
+	requests serviceTime
+	expected loadAverage
 	// handshakes are the openings delivered to the host whose handshakes may still
 	// be in progress, the oldest first.
 	handshakes []*hostFlow
@@ -179,7 +196,7 @@
 func (ga *Gate) Report(now time.Time) Report {
 	re := Report{
 		State: ga.state(now), InProgress: uint16(min(ga.InProgress(), 1<<16-1)), Slots: ga.host.Slots,
-		ServiceTime: ga.queue.service.mean,
+		ServiceTime: ga.requests.mean, Expected: ga.expected.at(now),
 	}
 	if ga.routes != nil {
 		re.Version = ga.routes.Version
@@ -190,9 +207,13 @@
 // Service returns the service of the host, "" while it is unknown.
 func (ga *Gate) Service() string { return ga.host.Service }
 
-// InProgress returns the number of flows whose request is not yet answered,
-// including openings in the queue.
-func (ga *Gate) InProgress() int { return ga.flowsInProgress + len(ga.queue.items) }
+// InProgress returns the number of flows whose opening or request is not yet
+// answered, including openings in the queue.
+func (ga *Gate) InProgress() int { return ga.inProgress + len(ga.queue.items) }
+
+// Idle reports whether no opening, request or answer is in progress. Open flows
+// between two requests don't count.
+func (ga *Gate) Idle() bool { return ga.active.Len() == 0 && len(ga.queue.items) == 0 }
 
 // state returns the state of the host to report to balancers, zero while the
 // host is unknown, silent or ejected.
@@ -262,7 +283,7 @@
 	case !ok:
 		ga.handleUnknownFlow(now, fp, data)
 	default:
-		ga.handleKnownFlow(fp, data, hf)
+		ga.handleKnownFlow(now, fp, data, hf)
 	}
 	return ga.actions
 }
@@ -275,29 +296,31 @@
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	}
-	ga.flows.put(now, fp.Flow, &hostFlow{
+	hf := &hostFlow{
 		flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue,
-	})
+	}
+	ga.flows.put(now, fp.Flow, hf)
+	ga.trackRequest(now, fp.Packet, hf)
 	ga.deliver(fp.Flow, data, false)
 }
 
 // handleKnownFlow handles a packet of a flow that the agent knows.
-func (ga *Gate) handleKnownFlow(fp ForwardedPacket, data []byte, hf *hostFlow) {
+func (ga *Gate) handleKnownFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
 	switch hf.stage {
 	case stagePending:
 		// This host has not accepted the flow, so the caller completes a handshake
 		// with another one.
-		ga.forget(hf)
+		ga.forget(now, hf)
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	case stageAccepted:
 		if !fp.Resets && !acknowledges(fp.Acknowledged, hf.initialSequence) {
-			ga.forget(hf)
+			ga.forget(now, hf)
 			ga.decline(fp, data, ReasonNotHeld)
 			return
 		}
 		hf.stage = stageOpen
-		ga.setWorking(hf, true)
+		ga.setWorking(now, hf, true)
 	case stageTentative:
 		if fp.Mode != DeliverTentatively && !hf.located {
 			ga.decline(fp, data, ReasonNotHeld)
@@ -311,6 +334,7 @@
 		return
 	}
 	hf.balancer = fp.From
+	ga.trackRequest(now, fp.Packet, hf)
 	ga.deliver(fp.Flow, data, false)
 }
 
@@ -394,29 +418,23 @@
 
 // expireIdle forgets flows without packets for FlowIdleTimeout, or for twice the
 // idle timeout of the routes if that is shorter, and the least recently used ones
-// above maxHostFlows. Flows without packets for workTimeout no longer count as in
-// progress.
+// above maxHostFlows.
 func (ga *Gate) expireIdle(now time.Time) {
+	ga.expireActive(now)
 	idle := FlowIdleTimeout
 	if ga.routes != nil && ga.routes.IdleTimeout > 0 {
 		idle = min(idle, 2*ga.routes.IdleTimeout)
 	}
 	for _, hf := range ga.flows.expire(now.Add(-idle), maxHostFlows) {
-		ga.setWorking(hf, false)
-	}
-	for el := ga.flows.order.Front(); el != nil && ga.flowsInProgress > 0; el = el.Next() {
-		en := el.Value.(*recentEntry[*hostFlow])
-		if now.Sub(en.at) < workTimeout {
-			return
-		}
-		ga.setWorking(en.value, false)
+		ga.setWorking(now, hf, false)
+		ga.setAnswering(now, hf, false)
 	}
 }
 
 // deliver sends a packet to the host.
 func (ga *Gate) deliver(flow Flow, data []byte, opening bool) {
 	ga.actions = append(ga.actions, Action{
-		Kind: KindDeliver, Flow: flow, Data: data, Opening: opening, InProgress: float64(ga.flowsInProgress),
+		Kind: KindDeliver, Flow: flow, Data: data, Opening: opening, InProgress: float64(ga.inProgress),
 	})
 }
 
@@ -424,23 +442,12 @@
 func (ga *Gate) decline(fp ForwardedPacket, data []byte, re Reason) {
 	ga.actions = append(ga.actions, Action{
 		Kind: KindDecline, To: fp.From, Flow: fp.Flow, Data: data, Reason: re,
-		Opening: fp.Opening, InProgress: float64(ga.flowsInProgress),
+		Opening: fp.Opening, InProgress: float64(ga.inProgress),
 	})
 }
 
-func (ga *Gate) forget(hf *hostFlow) {
-	ga.setWorking(hf, false)
+func (ga *Gate) forget(now time.Time, hf *hostFlow) {
+	ga.setWorking(now, hf, false)
+	ga.setAnswering(now, hf, false)
 	ga.flows.remove(hf.flow)
 }
-
-func (ga *Gate) setWorking(hf *hostFlow, working bool) {
-	if hf.working == working {
-		return
-	}
-	hf.working = working
-	if working {
-		ga.flowsInProgress++
-	} else {
-		ga.flowsInProgress--
-	}
-}
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -15,7 +15,7 @@
 		ga.serveQueue(now)
 		return ga.actions
 	}
-	ga.trackAnswer(now, pk)
+	ga.handleAnswer(now, pk)
 	ga.actions = append(ga.actions, Action{Kind: KindReturn, Flow: pk.Flow, Data: data})
 	ga.serveQueue(now)
 	return ga.actions
@@ -37,7 +37,8 @@
 		re = ReasonHostRefused
 		ga.eject(now)
 	}
-	ga.setWorking(hf, false)
+	ga.setWorking(now, hf, false)
+	ga.setAnswering(now, hf, false)
 	hf.stage = stageNotHeld
 	if re == ReasonHostLost {
 		hf.stage = stageLost
@@ -56,33 +57,8 @@
 	ga.announceIfChanged(now)
 }
 
-// countReset counts consecutive resets of flows in progress and ejects the host
-// from resetsToEject on. A flow that the host finishes clears the counts of resets
-// and ejections.
-func (ga *Gate) countReset(now time.Time, pk Packet) {
-	if pk.Finishes {
-		ga.resets = 0
-		ga.ejections = 0
-		return
-	}
-	ga.resets++
-	if ga.resets >= resetsToEject {
-		ga.eject(now)
-	}
-}
-
-// addServiceTime adds the time that a request took to the average. It announces
-// the report if the average has changed much and the last announcement is at
-// least serviceTimeAnnounce ago.
-func (ga *Gate) addServiceTime(now time.Time, took time.Duration) {
-	ga.queue.service.add(now, took)
-	if serviceTimeChanged(ga.announced.ServiceTime, ga.queue.service.value()) && now.Sub(ga.announcedAt) >= serviceTimeAnnounce {
-		ga.announce(now)
-	}
-}
-
-// trackAnswer updates the flow of a packet from the host to a caller.
-func (ga *Gate) trackAnswer(now time.Time, pk Packet) {
+// handleAnswer handles a packet from the host to a caller.
+func (ga *Gate) handleAnswer(now time.Time, pk Packet) {
 	hf, ok := ga.flows.get(now, pk.Flow)
 	if !ok {
 		if pk.Resets {
@@ -107,16 +83,7 @@
 		hf.stage = stageOpen
 		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: hf.balancer, Flow: pk.Flow, Sure: true})
 	}
-	if pk.Finishes || pk.Resets {
-		if hf.working {
-			ga.countReset(now, pk)
-		}
-		if hf.working && !hf.opened.IsZero() {
-			ga.addServiceTime(now, now.Sub(hf.opened))
-			ga.actions = append(ga.actions, Action{Kind: KindServed, Flow: pk.Flow, Started: hf.opened})
-		}
-		ga.setWorking(hf, false)
-	}
+	ga.trackAnswer(now, pk, hf)
 }
 
 func (ga *Gate) confirm(hf *hostFlow) {
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -8,22 +8,32 @@
 
 // handleOpening delivers, queues or declines an opening packet.
 func (ga *Gate) handleOpening(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
-	if hf == nil || hf.stage >= stageTentative {
+	if hf == nil || hf.stage >= stageTentative || hf.closed || hf.openingSequence != fp.Sequence {
 		if re := ga.declineReason(now, fp); re != ReasonNone {
 			ga.decline(fp, data, re)
 			return
 		}
-		if ga.flowsInProgress >= ga.limit() {
+		if ga.inProgress >= ga.limit() {
 			ga.enqueue(now, fp, data)
 			return
 		}
-		hf = &hostFlow{flow: fp.Flow, stage: stagePending, opened: now}
-		ga.flows.put(now, fp.Flow, hf)
-		ga.setWorking(hf, true)
+		hf = ga.admit(now, fp, hf)
 	}
 	ga.deliverOpening(now, fp, data, hf)
 }
 
+// admit returns a new flow in place of the former one between the same addresses,
+// nil if there was none.
+func (ga *Gate) admit(now time.Time, fp ForwardedPacket, former *hostFlow) *hostFlow {
+	if former != nil {
+		ga.forget(now, former)
+	}
+	hf := &hostFlow{flow: fp.Flow, stage: stagePending, opened: now, openingSequence: fp.Sequence}
+	ga.flows.put(now, fp.Flow, hf)
+	ga.setWorking(now, hf, true)
+	return hf
+}
+
 // flowsPerSlot is the number of flows in progress that a host may have for each
 // slot: while it works on one the next one completes its handshake.
 const flowsPerSlot = 2
@@ -67,15 +77,13 @@
 		}
 		return
 	}
-	for ga.flowsInProgress < ga.limit() {
+	for ga.inProgress < ga.limit() {
 		it, ok := ga.queue.next(now)
 		if !ok {
 			return
 		}
-		hf := &hostFlow{flow: it.packet.Flow, stage: stagePending, opened: now}
-		ga.flows.put(now, it.packet.Flow, hf)
-		ga.setWorking(hf, true)
-		ga.deliverOpening(now, it.packet, it.data, hf)
+		former, _ := ga.flows.get(now, it.packet.Flow)
+		ga.deliverOpening(now, it.packet, it.data, ga.admit(now, it.packet, former))
 	}
 }
 
@@ -89,7 +97,7 @@
 			return
 		}
 		if hf.stage <= stageAccepted {
-			ga.setWorking(hf, false)
+			ga.setWorking(now, hf, false)
 		}
 		ga.handshakes = ga.handshakes[1:]
 	}
@@ -122,7 +130,7 @@
 		return ReasonWrongService
 	case ga.routeRemoved(fp):
 		return ReasonNoRoute
-	case fp.Mode == DeliverIfFree && ga.flowsInProgress >= int(max(ga.host.Slots, 1)):
+	case fp.Mode == DeliverIfFree && ga.inProgress >= int(max(ga.host.Slots, 1)):
 		return ReasonBusy
 	default:
 		return ReasonNone
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -51,6 +51,8 @@
 	Returned bool
 	// Copy is the number of the copy of an opening packet, from zero.
 	Copy uint32
+	// Length is the number of data bytes.
+	Length int
 	// Sequence is the sequence number of the packet's first byte.
 	Sequence uint32
 	// Acknowledged is the sequence number of the next byte that the sender waits
@@ -62,8 +64,12 @@
 type Report struct {
 	// State is zero while the agent has no host that answers or has ejected it.
 	State register.State
-	// InProgress is the number of flows whose request is not yet answered.
+	// InProgress is the number of flows whose opening or request is not yet
+	// answered.
 	InProgress uint16
+	// Expected is the number of requests that open flows bring on average besides
+	// their first ones.
+	Expected float64
 	// Slots is the number of requests that the host works on at once.
 	Slots uint16
 	// ServiceTime is how long the host takes for a request on average, zero
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -19,6 +19,8 @@
 	simSlots          = 2
 	simDelay          = time.Millisecond
 	simOpeningTimeout = 1400 * time.Millisecond
+	simRequestBytes   = 100
+	simAnswerBytes    = 600
 )
 
 var simAddress = netip.MustParseAddrPort("198.18.0.1:443")
@@ -77,8 +79,12 @@
 	resetsOfOpen            int
 	openedAfterDrain        int
 	wrongAnswers            int
-	deliveries, refusals    int
-	brokenByHost            int
+	// closedByHost counts the kept flows that a draining host has ended.
+	closedByHost int
+	// kept is the number of kept flows that callers have opened.
+	kept                 int
+	deliveries, refusals int
+	brokenByHost         int
 }
 
 // simBalancer is a simulated balancer.
@@ -111,6 +117,8 @@
 	working int
 	waiting []Flow
 	work    time.Duration
+	// requests is the number of requests that the host has worked on.
+	requests int
 }
 
 // simFlow is a flow at a simulated host.
@@ -118,17 +126,29 @@
 	// initialSequence is the sequence number with which the host accepted the flow.
 	initialSequence uint32
 	open            bool
-	answered        bool
+	// received is the sequence number after the last byte of the caller's requests;
+	// answered is the value that it had at the last answer.
+	received, answered uint32
+	// sent is the number of bytes of all answers.
+	sent uint32
+	// finished says that the host has ended the flow with its last answer.
+	finished bool
 }
 
 // simCaller is a simulated caller with one flow.
 type simCaller struct {
-	flow     Flow
+	flow Flow
+	// began is when the caller began its present request.
 	began    time.Time
 	accepted bool
-	// number is the sequence number that the caller expects next.
-	number uint32
-	done   bool
+	// sent is the sequence number of the present request's first byte; number is
+	// the one that the caller expects next.
+	sent, number uint32
+	done         bool
+	// keepsUntil is when the caller sends its last request on the flow at the
+	// latest, zero for a caller with one request. Between two requests it pauses.
+	keepsUntil time.Time
+	pause      time.Duration
 }
 
 func newSimulation(seed uint64, balancers, hosts int) *simulation {
@@ -322,12 +342,13 @@
 	})
 }
 
-// encode returns the encoding of a packet in the simulation: the sequence number
-// and the acknowledgement number.
+// encode returns the encoding of a packet in the simulation: the sequence number,
+// the acknowledgement number and the number of data bytes.
 func encode(pk Packet) []byte {
-	data := make([]byte, 8)
+	data := make([]byte, 12)
 	binary.BigEndian.PutUint32(data, pk.Sequence)
 	binary.BigEndian.PutUint32(data[4:], pk.Acknowledged)
+	binary.BigEndian.PutUint32(data[8:], uint32(pk.Length))
 	return data
 }
 
@@ -374,9 +395,10 @@
 // decode decodes a packet that encode has encoded.
 func (si *simulation) decode(ac Action, data []byte) Packet {
 	pk := Packet{Flow: ac.Flow, Opening: ac.Opening}
-	if len(data) >= 8 {
+	if len(data) >= 12 {
 		pk.Sequence = binary.BigEndian.Uint32(data)
 		pk.Acknowledged = binary.BigEndian.Uint32(data[4:])
+		pk.Length = int(binary.BigEndian.Uint32(data[8:]))
 	}
 	return pk
 }
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -17,6 +17,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -58,7 +59,7 @@
 // KindForward message without its packet.
 const (
 	flowLength    = 2 * (16 + 2)
-	reportLength  = 1 + 2 + 2 + 2 + 8
+	reportLength  = 1 + 2 + 2 + 2 + 2 + 8
 	forwardLength = 1 + 1 + 4 + 8 + 2
 )
 
@@ -122,11 +123,16 @@
 	}, datagram[forwardLength:], nil
 }
 
+// expectedUnit is the number of units in which a report counts one expected
+// request.
+const expectedUnit = 256
+
 func appendReport(buffer []byte, re carriage.Report) []byte {
 	buffer = append(buffer, byte(re.State))
 	buffer = binary.BigEndian.AppendUint16(buffer, re.InProgress)
 	buffer = binary.BigEndian.AppendUint16(buffer, re.Slots)
 	buffer = appendMilliseconds(buffer, re.ServiceTime)
+	buffer = binary.BigEndian.AppendUint16(buffer, uint16(min(max(re.Expected, 0)*expectedUnit, math.MaxUint16)))
 	return binary.BigEndian.AppendUint64(buffer, re.Version)
 }
 
@@ -139,7 +145,8 @@
 		InProgress:  binary.BigEndian.Uint16(datagram[1:]),
 		Slots:       binary.BigEndian.Uint16(datagram[3:]),
 		ServiceTime: decodeMilliseconds(datagram[5:]),
-		Version:     binary.BigEndian.Uint64(datagram[7:]),
+		Expected:    float64(binary.BigEndian.Uint16(datagram[7:])) / expectedUnit,
+		Version:     binary.BigEndian.Uint64(datagram[9:]),
 	}, nil
 }
 
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -109,7 +109,7 @@
 			ag.draining = true
 			ag.performFlowActions(now, ag.gate.Drain(now))
 		},
-		idle:         func(time.Time) bool { return ag.gate.InProgress() == 0 },
+		idle:         func(time.Time) bool { return ag.gate.Idle() },
 		minStopTime:  minAgentStopTime,
 		closeSockets: func() { ag.hostConn.Close() },
 	})
@@ -291,7 +291,7 @@
 			ag.send(ac.To, ag.scratch)
 		case carriage.KindServed:
 			ag.metrics.Observe("ServedMilliseconds", ac.Flow.Service.String(), now.Sub(ac.Started))
-			klog.InfoS("Flow answered", "flow", ac.Flow, "took", now.Sub(ac.Started).Round(time.Millisecond))
+			klog.InfoS("Request answered", "flow", ac.Flow, "took", now.Sub(ac.Started).Round(time.Millisecond))
 		case carriage.KindDecline:
 			ag.metrics.Count("Declined."+ac.Reason.String(), 1)
 			klog.InfoS("Packet declined", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening,
