fix(carriage): openings that wait are placed or refused when a host stops

Cause: an agent confirms an opening that it queues, and the balancer took this for the end of the matter. When the agent or its host then stopped as planned, the agent sent the queued openings back and the balancer ignored them; only a later copy of the caller's own opened the flow elsewhere, if one was left. Openings that waited too long were dropped without a word, at agents and at balancers.

Now a balancer places an opening again, or refuses it, when its agent declines it before any later packet of the flow. A stopping agent sends its queue back at once. Openings are refused one round trip before their callers give up.

Ruled out: the copies of callers as a remedy, 400 ms late at best.

--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -27,6 +27,7 @@
 	ga.host = ci
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
+	ga.serveQueue(now)
 	return ga.actions, true
 }
 
@@ -111,11 +112,12 @@
 	return ga.actions, true
 }
 
-// Drain starts the shutdown of the agent: its host gets no new flows, and packets
-// of its open flows are still delivered.
+// Drain starts the shutdown of the agent: its host gets no new flows, openings that
+// wait are declined, and packets of its open flows are still delivered.
 func (ga *Gate) Drain(now time.Time) []Action {
 	ga.actions = ga.actions[:0]
 	ga.agentDraining = true
 	ga.announceIfChanged(now)
+	ga.serveQueue(now)
 	return ga.actions
 }
--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -155,7 +155,7 @@
 		Service: simAddress,
 	}}
 	si.callers[ca.flow] = ca
-	for i, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+	for i, delay := range si.copyTimes {
 		si.after(delay, func() {
 			if !ca.accepted && !ca.done {
 				si.fromCaller(Packet{Flow: ca.flow, Opening: true, Copy: uint32(i)})
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -61,15 +61,15 @@
 	})
 }
 
-// serveQueue delivers queued openings while the host has room, and declines all
-// of them if the host takes no new flows.
+// serveQueue delivers queued openings while the host has room. It declines those
+// whose callers are about to give up, and all if the host takes no new flows.
 func (ga *Gate) serveQueue(now time.Time) {
 	ga.endHandshakes(now)
 	if len(ga.queue.items) == 0 {
 		return
 	}
 	for _, it := range ga.queue.expired(now) {
-		ga.actions = append(ga.actions, Action{Kind: KindDrop, Flow: it.packet.Flow, Reason: ReasonUnconfirmed, Opening: true})
+		ga.decline(it.packet, it.data, ReasonFull)
 	}
 	if st := ga.state(now); !st.TakesNewWork() {
 		for _, it := range ga.queue.drain() {
--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -106,8 +106,8 @@
 	return false
 }
 
-// unpark drops openings whose callers have given up and places the others as far
-// as hosts have room.
+// unpark refuses openings whose callers are about to give up and places the others
+// as far as hosts have room.
 func (pl *Placer) unpark(now time.Time) {
 	if pl.parking.retry.IsZero() {
 		return
@@ -115,7 +115,7 @@
 	for _, service := range slices.Sorted(maps.Keys(pl.parking.queues)) {
 		qu := pl.parking.queues[service]
 		for _, it := range qu.expired(now) {
-			pl.dropExpired(now, it.packet.Flow)
+			pl.refuseExpired(now, it.packet.Flow)
 		}
 		// placeParked may park an opening again, so each one is tried at most once.
 		for turns := len(qu.items); turns > 0 && pl.mayPlace(now, service); turns-- {
@@ -132,11 +132,10 @@
 	}
 }
 
-// dropExpired drops a parked opening whose caller has given up.
-func (pl *Placer) dropExpired(now time.Time, flow Flow) {
+// refuseExpired refuses a parked opening whose caller is about to give up.
+func (pl *Placer) refuseExpired(now time.Time, flow Flow) {
 	if tf, ok := pl.flows.get(now, flow); ok && tf.phase == phaseParked {
-		pl.forget(tf)
-		pl.drop(flow, ReasonNoHost, true)
+		pl.refuseOpening(tf, ReasonNoHost)
 	}
 }
 
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -75,6 +75,8 @@
 	// unconfirmed says that a host may have accepted the opening, or may still do
 	// so, without its confirmation being known here.
 	unconfirmed bool
+	// established says that a packet after the opening was forwarded.
+	established bool
 	// extended says that the deadline of this attempt was extended by
 	// tickDelayGrace.
 	extended bool
@@ -225,6 +227,7 @@
 			pl.restartSearch(now, tf, pk, data)
 			break
 		}
+		tf.established = true
 		pl.forward(tf.agent, pk.Flow, data, Action{Mode: DeliverOrQueue})
 	}
 	return pl.actions
@@ -381,10 +384,12 @@
 		}
 		return pl.actions
 	}
-	if !ok || tf.phase != phaseOpening || tf.agent != ag || ag == nil {
+	if !ok || tf.agent != ag || ag == nil || !tf.isOpening() {
 		return pl.actions
 	}
 	pl.clearDeadline(tf)
+	tf.phase = phaseOpening
+	tf.opening = append(tf.opening[:0], data...)
 	switch why {
 	case ReasonBusy:
 		tf.busy = append(tf.busy, from)
@@ -441,6 +446,12 @@
 // estimated from the copy's number.
 func (tf *trackedFlow) started() time.Time { return tf.opened.Add(-copyAge(tf.copyNumber)) }
 
+// isOpening reports whether an agent may still decline the flow's opening: it isn't
+// confirmed, or it may be waiting at the agent.
+func (tf *trackedFlow) isOpening() bool {
+	return tf.phase == phaseOpening || tf.phase == phaseLocated && !tf.established
+}
+
 func (tf *trackedFlow) due() time.Time { return tf.deadline }
 
 func (tf *trackedFlow) setIndex(index int) { tf.index = index }
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -20,7 +20,8 @@
 	packet ForwardedPacket
 	data   []byte
 	// target is when the caller should have its answer, zero if the route has no
-	// latency target; expires is when the caller gives the opening up.
+	// latency target; expires is the latest time at which an acceptance or a refusal
+	// still reaches the caller before it gives the opening up.
 	target   time.Time
 	expires  time.Time
 	priority uint8
@@ -50,7 +51,7 @@
 func (qu *queue) add(now time.Time, fp ForwardedPacket, data []byte, ro catalog.Route, limit int) bool {
 	it := queued{
 		packet: fp, data: append([]byte(nil), data...),
-		expires: fp.Started.Add(qu.openingTimeout), priority: ro.Priority,
+		expires: fp.Started.Add(qu.openingTimeout - callerRoundTrip), priority: ro.Priority,
 	}
 	if ro.LatencyTarget > 0 {
 		it.target = fp.Started.Add(ro.LatencyTarget)
@@ -121,7 +122,7 @@
 	return it, true
 }
 
-// expired removes and returns the openings that their callers have given up.
+// expired removes and returns the openings whose callers are about to give up.
 func (qu *queue) expired(now time.Time) []queued {
 	return qu.remove(func(it *queued) bool { return now.After(it.expires) })
 }
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -68,6 +68,8 @@
 	callers      map[Flow]*simCaller
 	routes       *catalog.Routes
 	nextSequence uint32
+	// copyTimes are when a caller sends the copies of an opening packet.
+	copyTimes []time.Duration
 	// cut is a balancer that is cut off from all other processes, nil for none.
 	cut *simBalancer
 
@@ -155,6 +157,7 @@
 	si := &simulation{
 		now: began, random: rand.New(rand.NewPCG(seed, 1)), callers: make(map[Flow]*simCaller),
 		misdelivered: make(map[Flow]int),
+		copyTimes:    []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond},
 		routes: &catalog.Routes{Version: 1, Addresses: map[netip.AddrPort]catalog.Route{
 			simAddress: {Services: catalog.WeightedServices{{Service: simService, Weight: 1}}, LatencyTarget: 100 * time.Millisecond},
 		}},
--- a/internal/standin/demo/compare.go
+++ b/internal/standin/demo/compare.go
@@ -89,7 +89,7 @@
 			}
 		case OutcomeNotRun:
 			re.Outcomes.NotRun++
-			klog.V(1).InfoS("Request not run", "Identity", rq.identity, "Reason", rq.reason, "Host", rq.host)
+			klog.V(1).InfoS("Request not run", "Identity", rq.identity, "Reason", rq.reason, "Host", rq.host, "StartedAt", rq.startedAt, "Failure", rq.failure)
 			if ran > 0 {
 				re.NotRunButRan++
 			}
@@ -97,7 +97,7 @@
 			re.Outcomes.Unknown++
 			if !co.lostToCrash(rq) {
 				re.CutByStop++
-				klog.V(1).InfoS("Request cut", "Identity", rq.identity, "Host", rq.host, "AnsweredBy", rq.answeredBy, "Elapsed", rq.finishedAt.Sub(rq.startedAt), "Failure", rq.failure)
+				klog.V(1).InfoS("Request cut", "Identity", rq.identity, "Host", rq.host, "AnsweredBy", rq.answeredBy, "StartedAt", rq.startedAt, "Elapsed", rq.finishedAt.Sub(rq.startedAt), "Failure", rq.failure)
 			}
 		}
 		if rq.booking && ran > 1 {
