fix(fleet): a node that leaves tells balancers until two have heard it

Both live balancers then went on sending the flow's packets to the stopped host: no instance counted a packet of a host that left, and the caller got no stateless reset.

Leave now sends the news to other balancers, drawn at random, until two messages have arrived, 5 s at most.

Ruled out: the resets (any agent sends them once the host is known to be gone) and the caller's library.

--- a/internal/coordination/roster/announcer.go
+++ b/internal/coordination/roster/announcer.go
@@ -96,6 +96,11 @@
 	return an.subject
 }
 
+// Gone reports whether the announced state is Gone.
+func (an *Announcer) Gone() bool {
+	return an.state() == register.StateGone
+}
+
 // Start announces the record in the state Warming, with a host at the first step
 // of its warm-up. The first heartbeats are due at once.
 func (an *Announcer) Start(now time.Time) []Action {
--- a/internal/transport/agent/agent.go
+++ b/internal/transport/agent/agent.go
@@ -289,8 +289,7 @@
 	<-stopped
 	// New flows arrive until every balancer knows that the host is draining.
 	socket.WaitUntilIdle(ag.datagramCount, deadline)
-	ag.fleet.SetState(register.StateGone)
-	ag.fleet.Flush(ctx)
+	ag.fleet.Leave(ctx)
 }
 
 // closeNewConnections closes each connection that is accepted while the agent
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -219,10 +219,9 @@
 // announceGone announces that the balancer is gone and waits until the announcement
 // is sent, at most until the deadline.
 func (ba *Balancer) announceGone(deadline time.Time) {
-	ba.updater.fleet.SetState(register.StateGone)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	ba.updater.fleet.Flush(ctx)
+	ba.updater.fleet.Leave(ctx)
 }
 
 // datagramCount returns the number of datagrams forwarded and answered so far.
--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -73,6 +73,8 @@
 	senders map[netip.AddrPort]*sender
 	sending sync.WaitGroup
 	closed  bool
+	// farewellsSent counts the messages that arrived and say that this node is gone.
+	farewellsSent int
 }
 
 // OpenBalancer returns the membership of a balancer, which Run starts.
@@ -119,7 +121,7 @@
 }
 
 // Run announces the node and keeps the membership current until the context ends.
-// It then drops the queued messages; call Flush before.
+// It then drops the queued messages; call Leave before.
 func (fl *Fleet) Run(ctx context.Context) error {
 	defer fl.close()
 	fl.handle((*membership.Node).Start)
--- a/internal/transport/fleet/sender.go
+++ b/internal/transport/fleet/sender.go
@@ -20,8 +20,6 @@
 	// senderIdle is how long a sender without messages is kept before its goroutine
 	// ends.
 	senderIdle = time.Minute
-	// flushInterval is the time between two checks of the queues in Flush.
-	flushInterval = 10 * time.Millisecond
 )
 
 // sender sends one peer's messages in order from a bounded queue. Its goroutine
@@ -121,6 +119,7 @@
 	err := sd.fleet.cfg.Pool.Send(ctx, sd.peer, message.KindMembership, pm)
 	if err == nil {
 		sd.fleet.cfg.Registry.Count("MembershipMessagesSent", 1)
+		sd.fleet.noteSent(msg)
 		return
 	}
 	sd.fleet.cfg.Registry.Count("MembershipSendsFailed", 1)
@@ -143,32 +142,6 @@
 	return true
 }
 
-// Flush waits until every queued message was sent or its send has failed, at most
-// until the context ends.
-func (fl *Fleet) Flush(ctx context.Context) {
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for fl.pending() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// pending reports whether any sender is busy.
-func (fl *Fleet) pending() bool {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	for _, sd := range fl.senders {
-		if sd.busy() {
-			return true
-		}
-	}
-	return false
-}
-
 // close cancels the sends in progress, drops the queued messages and waits until
 // all senders have ended.
 func (fl *Fleet) close() {
