perf(members): a greeting costs the same in a fleet of any size

Cause: each greeting carried a digest that hashed all records anew, so a record sent to all members cost the square of the fleet, and each record that changed made a balancer sort all records and rebuild its lists of agents.

The view keeps its digest up to date; a changed or removed member is passed to the placer alone, which inserts it into the sorted pool of its service.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/register"
@@ -103,54 +102,6 @@
 	return cost
 }
 
-// SetAgents replaces the list of agents. The state of an agent that was known
-// before is kept unless the list has a newer revision of its record. Openings
-// that wait are placed if hosts have room.
-func (pl *Placer) SetAgents(now time.Time, list []Agent) []Action {
-	pl.actions = pl.actions[:0]
-	present := make(map[netip.AddrPort]struct{}, len(list))
-	for _, me := range list {
-		present[me.Address] = struct{}{}
-		ag, ok := pl.agents[me.Address]
-		if !ok {
-			ag = &agent{address: me.Address, seed: seedOf(me.Address), index: -1}
-			pl.agents[me.Address] = ag
-		}
-		if ok && !me.Supersedes(ag.revision) {
-			// The record is not newer than the one applied before, so a report
-			// received since then must not be overwritten.
-			continue
-		}
-		ag.revision = me.Revision
-		ag.service, ag.domain = me.Service, me.Domain
-		ag.report.State = me.State
-		if me.Slots > 0 {
-			ag.report.Slots = me.Slots
-		}
-		ag.report.ServiceTime = me.ServiceTime
-	}
-	for address, ag := range pl.agents {
-		if _, ok := present[address]; !ok {
-			pl.stopPings(ag)
-			delete(pl.agents, address)
-		}
-	}
-	pl.rebuildPools()
-	pl.unpark(now)
-	return pl.actions
-}
-
-// rebuildPools groups the agents by service and sorts each group by address.
-func (pl *Placer) rebuildPools() {
-	clear(pl.pools)
-	for _, ag := range pl.agents {
-		pl.pools[ag.service] = append(pl.pools[ag.service], ag)
-	}
-	for _, pool := range pl.pools {
-		slices.SortFunc(pool, func(a, b *agent) int { return a.address.Compare(b.address) })
-	}
-}
-
 // choose returns the agent with the lowest cost for a new flow among those that
 // were not tried, nil if none is left. Agents of draining hosts come last.
 func (pl *Placer) choose(now time.Time, tf *trackedFlow) *agent {
--- a/internal/coordination/carriage/carriage_test.go
+++ b/internal/coordination/carriage/carriage_test.go
@@ -72,6 +72,13 @@
 	})
 }
 
+// setAgents applies the records of agents.
+func setAgents(pl *Placer, list ...Agent) {
+	for _, me := range list {
+		pl.SetAgent(began, me)
+	}
+}
+
 func TestReportIsNewerThanRecord(t *testing.T) {
 	Convey("A change of one member's record doesn't replace a newer report of another member by its older record", t, func() {
 		pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout})
@@ -81,11 +88,11 @@
 		second := first
 		second.Address = netip.MustParseAddrPort("10.2.0.2:7000")
 		// The record with the host's state Ready is lost; the report has it.
-		pl.SetAgents(began, []Agent{first, second})
+		setAgents(pl, first, second)
 		pl.HandleReport(began, first.Address, Report{State: register.StateReady, Slots: 2})
 		second.Sequence++
 		second.State = register.StateDraining
-		pl.SetAgents(began, []Agent{first, second})
+		setAgents(pl, first, second)
 		list := pl.HandlePacket(began, Packet{Flow: Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: simAddress}, Opening: true}, nil)
 		So(len(list), ShouldEqual, 1)
 		So(list[0].Kind, ShouldEqual, KindForward)
@@ -135,7 +142,7 @@
 			ag.State, ag.Slots, ag.Incarnation = register.StateReady, 2, 1
 			agents = append(agents, ag)
 		}
-		pl.SetAgents(began, agents)
+		setAgents(pl, agents...)
 		flow := Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1"), Service: simAddress}
 		first := pl.HandlePacket(began, Packet{Flow: flow, Opening: true}, nil)[0].To
 		now := began.Add(ConfirmTimeout)
@@ -448,3 +455,26 @@
 		So(si.balancers[0].placer.Ready(si.now), ShouldBeTrue)
 	})
 }
+
+func TestPools(t *testing.T) {
+	Convey("An agent is in the pool of its present service only, until it is removed", t, func() {
+		pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout})
+		record := func(number byte, sequence uint64, service string) Agent {
+			ag := Agent{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, number}), 7000), Service: service, Slots: 2}
+			ag.Incarnation, ag.Sequence = 1, sequence
+			return ag
+		}
+		setAgents(pl, record(3, 1, simService), record(1, 1, simService), record(2, 1, ""), record(2, 2, simService))
+		So(len(pl.pools), ShouldEqual, 1)
+		So(len(pl.pools[simService]), ShouldEqual, 3)
+		So(pl.pools[simService][1].address.Addr().String(), ShouldEqual, "10.2.0.2")
+		setAgents(pl, record(2, 1, "ledgerwash"))
+		So(len(pl.pools[simService]), ShouldEqual, 3)
+		pl.RemoveAgent(record(2, 1, "").Address)
+		pl.RemoveAgent(record(2, 1, "").Address)
+		So(len(pl.pools[simService]), ShouldEqual, 2)
+		pl.RemoveAgent(record(1, 1, "").Address)
+		pl.RemoveAgent(record(3, 1, "").Address)
+		So(len(pl.pools)+len(pl.agents), ShouldEqual, 0)
+	})
+}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -100,7 +100,7 @@
 	isolation
 	agents map[netip.AddrPort]*agent
 	// pools holds the agents of each service, sorted by address.
-	pools map[string][]*agent
+	pools map[string]pool
 	// medians caches the median service time of each service.
 	medians map[string]medianTime
 	flows   recent[*trackedFlow]
@@ -124,7 +124,7 @@
 	return &Placer{
 		domain: st.Domain, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
-		pools:   make(map[string][]*agent),
+		pools:   make(map[string]pool),
 		medians: make(map[string]medianTime),
 		flows:   newRecent[*trackedFlow](),
 		parking: newParking(st.OpeningTimeout),
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -240,7 +240,9 @@
 		}
 	}
 	ba.placer.SetOtherBalancers(len(si.balancers) - 1)
-	si.performBalancer(ba, ba.placer.SetAgents(si.now, list))
+	for _, me := range list {
+		si.performBalancer(ba, ba.placer.SetAgent(si.now, me))
+	}
 }
 
 // announce sends the records to all balancers through the network.
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -107,7 +107,7 @@
 const (
 	// KindSend sends the message to the process at To.
 	KindSend Kind = iota + 1
-	// KindChanged reports that a member was added, removed or has a new record.
+	// KindChanged reports that a member was added or has a new Record.
 	KindChanged
 	// KindConfiguration reports that a newer configuration was received completely:
 	// Data, of the version Version.
@@ -126,6 +126,7 @@
 	Message Message
 	Data    []byte
 	Version uint64
+	Record  Record
 	// Since is when the removed member was last heard from, zero if it never was.
 	Since time.Time
 }
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -1,7 +1,6 @@
 package members
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
@@ -66,6 +65,8 @@
 type View struct {
 	self    Record
 	members map[netip.AddrPort]*member
+	// digest summarizes the records of members.
+	digest  digest
 	removed map[netip.AddrPort]removal
 	seeds   []netip.AddrPort
 	configuration
@@ -88,6 +89,12 @@
 // Self returns the record of the process itself.
 func (vi *View) Self() Record { return vi.self }
 
+// Balancers returns the number of balancers among the other members.
+func (vi *View) Balancers() int { return vi.digest.balancers }
+
+// Agents returns the number of agents among the other members.
+func (vi *View) Agents() int { return len(vi.members) - vi.digest.balancers }
+
 // Records returns the records of the other members, sorted by address.
 func (vi *View) Records() []Record {
 	list := make([]Record, 0, len(vi.members))
@@ -236,10 +243,10 @@
 // remove removes a member and remembers its record's revision.
 func (vi *View) remove(now time.Time, me *member) {
 	delete(vi.members, me.record.Address)
+	vi.digest.remove(me.record)
 	vi.removed[me.record.Address] = removal{revision: me.record.Revision, until: now.Add(rememberRemoved)}
 	vi.actions = append(vi.actions,
-		Action{Kind: KindRemoved, To: me.record.Address, Since: me.heard},
-		Action{Kind: KindChanged})
+		Action{Kind: KindRemoved, To: me.record.Address, Since: me.heard})
 }
 
 // PingBalancers greets the other balancers, so that those that are alive answer. It
@@ -266,7 +273,7 @@
 // greeting returns a greeting for a peer of the role.
 func (vi *View) greeting(peer Role, wantAnswer, wantView bool) *Greeting {
 	return &Greeting{
-		Record: vi.self, Digest: vi.digest(peer), Version: vi.version, WantAnswer: wantAnswer, WantView: wantView,
+		Record: vi.self, Digest: vi.digestFor(peer), Version: vi.version, WantAnswer: wantAnswer, WantView: wantView,
 	}
 }
 
@@ -274,37 +281,20 @@
 	vi.actions = append(vi.actions, Action{Kind: KindSend, To: to, Message: me})
 }
 
-// digest returns a digest that is equal for equal views, for a comparison with a
-// peer of the role. If either side is an agent it covers only balancers, as an
-// agent knows no other members.
-func (vi *View) digest(peer Role) uint64 {
-	partial := vi.self.Role == RoleAgent || peer == RoleAgent
-	total := uint64(0)
-	if !partial || vi.self.Role == RoleBalancer {
-		total = digestOf(vi.self)
+// digestFor returns a digest of the view that is equal for equal views, for a
+// comparison with a peer of the role. If either side is an agent it covers only
+// balancers, as an agent knows no other members.
+func (vi *View) digestFor(peer Role) uint64 {
+	if vi.self.Role == RoleBalancer && peer == RoleBalancer {
+		return vi.digest.sum + hashOf(vi.self)
 	}
-	for _, me := range vi.members {
-		if !partial || me.record.Role == RoleBalancer {
-			total += digestOf(me.record)
-		}
+	total := vi.digest.balancerSum
+	if vi.self.Role == RoleBalancer {
+		total += hashOf(vi.self)
 	}
 	return total
 }
 
-// digestOf returns a hash of the record's address and revision.
-func digestOf(re Record) uint64 {
-	ha := fnv.New64a()
-	address, _ := re.Address.MarshalBinary()
-	ha.Write(address)
-	var number [16]byte
-	for i := range 8 {
-		number[i] = byte(re.Incarnation >> (8 * i))
-		number[8+i] = byte(re.Sequence >> (8 * i))
-	}
-	ha.Write(number[:])
-	return ha.Sum64()
-}
-
 // Handle handles a message of another process. A greeting whose record has another
 // address than the sender is ignored.
 func (vi *View) Handle(now time.Time, from netip.AddrPort, msg Message) []Action {
@@ -341,7 +331,7 @@
 	if gr.WasRemoved {
 		vi.actions = append(vi.actions, Action{Kind: KindRegister})
 	}
-	share := gr.WantAnswer && !gr.WantView && gr.Digest != vi.digest(gr.Record.Role) && !now.Before(vi.nextShare)
+	share := gr.WantAnswer && !gr.WantView && gr.Digest != vi.digestFor(gr.Record.Role) && !now.Before(vi.nextShare)
 	if share {
 		vi.nextShare = now.Add(shareInterval)
 	}
@@ -401,16 +391,19 @@
 	if !ok {
 		me = &member{record: re}
 		vi.members[re.Address] = me
+		vi.digest.add(re)
 		if !direct {
 			// The new member thus learns of this process at once.
 			vi.greet(now, me, false)
 		}
-		vi.actions = append(vi.actions, Action{Kind: KindChanged})
+		vi.actions = append(vi.actions, Action{Kind: KindChanged, Record: re})
 		return
 	}
 	if re.Supersedes(me.record.Revision) {
+		vi.digest.remove(me.record)
+		vi.digest.add(re)
 		me.record = re
-		vi.actions = append(vi.actions, Action{Kind: KindChanged})
+		vi.actions = append(vi.actions, Action{Kind: KindChanged, Record: re})
 	}
 }
 
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -82,7 +82,8 @@
 	}
 	no.deadline = ag.gate.Deadline
 	no.onFlowMessage = ag.handleFlowMessage
-	no.onViewChange = func(time.Time) {}
+	no.onMemberChanged = func(time.Time, members.Record) {}
+	no.onMemberRemoved = func(netip.AddrPort) {}
 	no.onMemberHeard = func(time.Time, netip.AddrPort) {}
 	no.onRoutes = func(_ time.Time, ro *catalog.Routes) {
 		ag.gate.SetRoutes(ro)
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -77,7 +77,8 @@
 	no.onMemberHeard = func(now time.Time, from netip.AddrPort) {
 		ba.performFlowActions(now, ba.placer.HandlePeerAlive(now, from))
 	}
-	no.onViewChange = ba.setAgents
+	no.onMemberChanged = ba.setMember
+	no.onMemberRemoved = ba.removeMember
 	no.onRoutes = func(now time.Time, ro *catalog.Routes) { ba.performFlowActions(now, ba.placer.SetRoutes(now, ro)) }
 	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
 	return ba, nil
@@ -114,24 +115,30 @@
 	return !ba.draining && ba.placer.Ready(time.Now())
 }
 
-// setAgents passes the agents of the view, and the number of other balancers, to
-// the placer. It is called with mu held.
-func (ba *Balancer) setAgents(now time.Time) {
-	var list []carriage.Agent
-	others := 0
-	for _, re := range ba.view.Records() {
-		if re.Role != members.RoleAgent {
-			others++
-			continue
-		}
-		list = append(list, carriage.Agent{
-			Revision: re.Revision, Address: re.Address, Service: re.Service, Domain: re.Domain,
-			State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime,
-		})
+// setMember passes a new record of a member to the placer. It is called with mu
+// held.
+func (ba *Balancer) setMember(now time.Time, re members.Record) {
+	ba.countMembers()
+	if re.Role != members.RoleAgent {
+		return
 	}
-	ba.placer.SetOtherBalancers(others)
-	ba.performFlowActions(now, ba.placer.SetAgents(now, list))
-	ba.metrics.Set("Agents", int64(len(list)))
+	ba.performFlowActions(now, ba.placer.SetAgent(now, carriage.Agent{
+		Revision: re.Revision, Address: re.Address, Service: re.Service, Domain: re.Domain,
+		State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime,
+	}))
+}
+
+// removeMember tells the placer that a member was removed. It is called with mu
+// held.
+func (ba *Balancer) removeMember(address netip.AddrPort) {
+	ba.countMembers()
+	ba.placer.RemoveAgent(address)
+}
+
+// countMembers passes the number of other balancers to the placer.
+func (ba *Balancer) countMembers() {
+	ba.placer.SetOtherBalancers(ba.view.Balancers())
+	ba.metrics.Set("Agents", int64(ba.view.Agents()))
 }
 
 // handleCallerPacket handles a caller's packet from the fabric.
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -69,8 +69,10 @@
 	deadline func() time.Time
 	// onFlowMessage handles a message about flows.
 	onFlowMessage func(now time.Time, from netip.AddrPort, datagram []byte)
-	// onViewChange handles a change of the members in the view.
-	onViewChange func(now time.Time)
+	// onMemberChanged handles a member that was added or has a new record.
+	onMemberChanged func(now time.Time, re members.Record)
+	// onMemberRemoved handles a member that was removed.
+	onMemberRemoved func(address netip.AddrPort)
 	// onMemberHeard handles the arrival of a membership message.
 	onMemberHeard func(now time.Time, from netip.AddrPort)
 	// onRoutes handles routes that are put in force.
@@ -208,19 +210,22 @@
 
 // performMemberActions performs the actions of the view. It is called with mu held.
 func (no *node) performMemberActions(now time.Time, list []members.Action) {
-	changed := false
+	// The role's functions may use the view again, which reuses the list.
+	var changed []members.Record
+	var removed []netip.AddrPort
 	for _, ac := range list {
 		switch ac.Kind {
 		case members.KindSend:
 			no.sendMessage(ac)
 		case members.KindChanged:
-			changed = true
+			changed = append(changed, ac.Record)
 		case members.KindConfiguration:
 			no.handleRoutes(now, ac.Data, ac.Version)
 		case members.KindRegister:
 			signal(no.entryRemoved)
 		case members.KindRemoved:
 			klog.InfoS("Member removed", "member", ac.To, "silent", now.Sub(ac.Since).Round(time.Millisecond))
+			removed = append(removed, ac.To)
 			select {
 			case no.removedMembers <- ac.To:
 			default:
@@ -228,8 +233,11 @@
 			}
 		}
 	}
-	if changed {
-		no.onViewChange(now)
+	for _, re := range changed {
+		no.onMemberChanged(now, re)
+	}
+	for _, address := range removed {
+		no.onMemberRemoved(address)
 	}
 }
 
