perf(members): a record that goes to all members is encoded once

Each of some 300 datagrams with the same greeting was encoded anew. Messages to members of one role now share the greeting, and the node encodes it once.

--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -122,11 +122,15 @@
 
 // greetAll greets all members, and also the seeds until a member was heard.
 func (vi *View) greetAll(now time.Time) {
-	asked := 0
-	for _, address := range vi.addresses() {
+	greetings := vi.greetings(true)
+	for asked, address := range vi.addresses() {
 		me := vi.members[address]
-		vi.greet(now, me, !vi.joined && asked < joinViewRequests)
-		asked++
+		if !vi.joined && asked < joinViewRequests {
+			vi.greet(now, me, true)
+			continue
+		}
+		me.noteGreeted(now)
+		vi.send(address, Message{Greeting: greetings[me.record.Role]})
 	}
 	if vi.joined {
 		return
@@ -170,9 +174,18 @@
 
 // sendRecord sends the record of the process itself to all members.
 func (vi *View) sendRecord() {
+	greetings := vi.greetings(false)
 	for _, address := range vi.addresses() {
-		peer := vi.members[address].record.Role
-		vi.send(address, Message{Greeting: vi.greeting(peer, false, false)})
+		vi.send(address, Message{Greeting: greetings[vi.members[address].record.Role]})
+	}
+}
+
+// greetings returns a greeting for all peers of each role, which ask for no view.
+// Messages to many members share them, so that each is encoded once.
+func (vi *View) greetings(wantAnswer bool) map[Role]*Greeting {
+	return map[Role]*Greeting{
+		RoleBalancer: vi.greeting(RoleBalancer, wantAnswer, false),
+		RoleAgent:    vi.greeting(RoleAgent, wantAnswer, false),
 	}
 }
 
@@ -265,9 +278,14 @@
 // greet sends a greeting that asks for an answer and, if wantView is set, for the
 // member's view. It counts the greeting as unanswered.
 func (vi *View) greet(now time.Time, me *member, wantView bool) {
+	me.noteGreeted(now)
+	vi.send(me.record.Address, Message{Greeting: vi.greeting(me.record.Role, true, wantView)})
+}
+
+// noteGreeted notes that the member was sent a greeting that asks for an answer.
+func (me *member) noteGreeted(now time.Time) {
 	me.greeted = now
 	me.unanswered++
-	vi.send(me.record.Address, Message{Greeting: vi.greeting(me.record.Role, true, wantView)})
 }
 
 // greeting returns a greeting for a peer of the role.
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -213,10 +213,11 @@
 	// The role's functions may use the view again, which reuses the list.
 	var changed []members.Record
 	var removed []netip.AddrPort
+	sent := make(map[*members.Greeting][]byte)
 	for _, ac := range list {
 		switch ac.Kind {
 		case members.KindSend:
-			no.sendMessage(ac)
+			no.sendMessage(ac, sent)
 		case members.KindChanged:
 			changed = append(changed, ac.Record)
 		case members.KindConfiguration:
@@ -241,14 +242,22 @@
 	}
 }
 
-// sendMessage sends the membership message of an action.
-func (no *node) sendMessage(ac members.Action) {
-	data, err := ac.Message.Encode()
-	if err != nil {
-		klog.ErrorS(err, "Message not sent", "to", ac.To)
-		return
+// sendMessage sends the membership message of an action. A greeting that went to
+// another member before is not encoded again.
+func (no *node) sendMessage(ac members.Action, sent map[*members.Greeting][]byte) {
+	datagram, ok := sent[ac.Message.Greeting]
+	if !ok {
+		data, err := ac.Message.Encode()
+		if err != nil {
+			klog.ErrorS(err, "Message not sent", "to", ac.To)
+			return
+		}
+		datagram = append([]byte{byte(waybill.KindMember)}, data...)
+	}
+	if ac.Message.Greeting != nil {
+		sent[ac.Message.Greeting] = datagram
 	}
-	no.send(ac.To, append([]byte{byte(waybill.KindMember)}, data...))
+	no.send(ac.To, datagram)
 }
 
 // send sends a datagram to another process. A failure is only counted and logged:
