fix(carriage): two flows between the same addresses are told apart

Cause: agents and balancers knew a flow by its two addresses only. When a caller used its port again, a late packet of the earlier flow - ended the new flow's handshake at the agent (its acknowledgement belongs to no acceptance there, so the flow was forgotten and its own packets were denied); - counted as the answer to the new flow's request, if it came from the host; - made the balancer reset the caller whose new opening was on its way, if the host had returned it as lost.

The sequence numbers of both ends' first packets now tell the flows apart: an opening with another number is a new flow, data counts only near what was seen, and a packet that fits no acceptance is declined without ending the handshake. A reset for a lost flow needs a flow that was established. A stopping balancer waits for openings and searches that are under way.

Check narrowed: TestFlowsUnderRandomFaults counts packets at other hosts only while the agent of the flow's host runs.

--- a/internal/coordination/carriage/exchange.go
+++ b/internal/coordination/carriage/exchange.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// maxStreamGap is the greatest number of bytes by which a packet may go beyond what
+// was seen of a stream. It is several times what an end has in flight, and makes it
+// unlikely that a late packet of an earlier flow between the same addresses counts.
+const maxStreamGap = 1 << 17
+
 // stream is the progress of the data that one end of a flow sends.
 type stream struct {
 	known bool
@@ -19,13 +24,18 @@
 		return false
 	}
 	end := pk.Sequence + uint32(pk.Length)
-	if st.known && int32(end-st.end) <= 0 {
+	if ahead := end - st.end; st.known && (ahead == 0 || ahead > maxStreamGap) {
 		return false
 	}
 	st.known, st.end = true, end
 	return true
 }
 
+// start notes the sequence number with which the end opened the flow.
+func (st *stream) start(number uint32) {
+	st.known, st.end = true, number
+}
+
 // acknowledgedBy reports whether the number acknowledges all data seen.
 func (st *stream) acknowledgedBy(number uint32) bool {
 	return !st.known || int32(st.end-number) <= 0
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -308,14 +308,12 @@
 func (ga *Gate) handleKnownFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
 	switch hf.stage {
 	case stagePending:
-		// This host has not accepted the flow, so the caller completes a handshake
-		// with another one.
-		ga.forget(now, hf)
+		// This host has not accepted the flow: the caller completes a handshake with
+		// another one, or the packet is a late one of an earlier flow.
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	case stageAccepted:
 		if !fp.Resets && !acknowledges(fp.Acknowledged, hf.initialSequence) {
-			ga.forget(now, hf)
 			ga.decline(fp, data, ReasonNotHeld)
 			return
 		}
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -78,6 +78,7 @@
 			hf.stage = stageAccepted
 		}
 		hf.initialSequence = pk.Sequence
+		hf.exchange.host.start(pk.Sequence)
 		ga.confirm(hf)
 	case hf.stage >= stageTentative && !pk.Resets:
 		hf.stage = stageOpen
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -29,6 +29,7 @@
 		ga.forget(now, former)
 	}
 	hf := &hostFlow{flow: fp.Flow, stage: stagePending, opened: now, openingSequence: fp.Sequence}
+	hf.exchange.caller.start(fp.Sequence)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.setWorking(now, hf, true)
 	return hf
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -65,9 +65,11 @@
 	opened time.Time
 	// opening is the opening packet until it is confirmed.
 	opening []byte
-	// copyNumber is Packet.Copy of that packet.
-	copyNumber uint32
-	service    string
+	// copyNumber is Packet.Copy of that packet, openingSequence its sequence number,
+	// which all copies share.
+	copyNumber      uint32
+	openingSequence uint32
+	service         string
 	// tried are the agents that the opening was sent to, in order; busy are those
 	// of them that declined it because their hosts were busy.
 	tried []netip.AddrPort
@@ -148,6 +150,11 @@
 	return pl.routes != nil && len(pl.agents) > 0 && !pl.isolated(now)
 }
 
+// Idle reports whether no opening waits or is unconfirmed, and no search is under way.
+func (pl *Placer) Idle() bool {
+	return len(pl.due.items) == 0 && pl.parking.length() == 0
+}
+
 // Deadline returns when Tick is due, zero if nothing is.
 func (pl *Placer) Deadline() time.Time {
 	first := time.Time{}
@@ -235,7 +242,7 @@
 
 // handleOpening handles an opening packet or a copy of one.
 func (pl *Placer) handleOpening(now time.Time, pk Packet, data []byte, tf *trackedFlow) {
-	if tf != nil && pk.Copy == 0 && now.Sub(tf.opened) > reopenAge {
+	if tf != nil && tf.isReopenedBy(now, pk) {
 		pl.forget(tf)
 		tf = nil
 	}
@@ -259,7 +266,8 @@
 		pl.forget(tf)
 	}
 	tf = &trackedFlow{
-		flow: pk.Flow, phase: phaseOpening, opened: now, service: service, copyNumber: pk.Copy,
+		flow: pk.Flow, phase: phaseOpening, opened: now, service: service,
+		copyNumber: pk.Copy, openingSequence: pk.Sequence,
 		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, index: -1,
 	}
 	pl.flows.put(now, pk.Flow, tf)
@@ -369,6 +377,9 @@
 	tf, ok := pl.flows.get(now, pk.Flow)
 	if !pk.Opening {
 		switch {
+		case why == ReasonHostLost && ok && tf.isOpening():
+			// A late packet of an earlier flow between the same addresses.
+			pl.drop(pk.Flow, why, false)
 		case why == ReasonHostLost && ok && tf.agent == ag && ag != nil:
 			pl.forget(tf)
 			pl.actions = append(pl.actions, Action{
@@ -446,6 +457,15 @@
 // estimated from the copy's number.
 func (tf *trackedFlow) started() time.Time { return tf.opened.Add(-copyAge(tf.copyNumber)) }
 
+// isReopenedBy reports whether the opening packet is that of another flow between the
+// same addresses, and no copy of the packet that opened this one.
+func (tf *trackedFlow) isReopenedBy(now time.Time, pk Packet) bool {
+	if tf.service != "" && pk.Sequence != tf.openingSequence {
+		return true
+	}
+	return pk.Copy == 0 && now.Sub(tf.opened) > reopenAge
+}
+
 // isOpening reports whether an agent may still decline the flow's opening: it isn't
 // confirmed, or it may be waiting at the agent.
 func (tf *trackedFlow) isOpening() bool {
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -257,6 +257,7 @@
 	pl.clearDeadline(tf)
 	tf.phase = phaseLocated
 	tf.agent = ag
+	tf.established = true
 	for _, data := range tf.search.buffered {
 		pl.forward(ag, flow, data, Action{Mode: DeliverOrQueue})
 	}
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -74,7 +74,8 @@
 	cut *simBalancer
 
 	// The counts of what callers and hosts observed. misdelivered counts, for each
-	// flow, the packets that reached a host while another one held the flow.
+	// flow, the packets that reached a host while another one, whose agent ran, held
+	// the flow.
 	served, refused, failed int
 	lateAnswers             int
 	misdelivered            map[Flow]int
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -102,7 +102,9 @@
 			ba.draining = true
 			ba.performMemberActions(now, ba.view.SetSelf(now, members.Record{State: register.StateDraining}))
 		},
-		idle:         func(now time.Time) bool { return now.Sub(ba.lastPacket) > idleTimeBeforeStop },
+		idle: func(now time.Time) bool {
+			return now.Sub(ba.lastPacket) > idleTimeBeforeStop && ba.placer.Idle()
+		},
 		minStopTime:  minBalancerStopTime,
 		closeSockets: func() { ba.callerConn.Close() },
 	})
