--- /dev/null
+++ b/internal/coordination/carriage/holding.go
@@ -0,0 +1,100 @@
+package carriage
+
+import (
+	"net/netip"
+	"time"
+)
+
+// handleUnknownFlow handles a packet of a flow that the agent doesn't know. The
+// packet is delivered if the host may hold the flow: after a restart of the agent
+// a balancer still sends the flows here that an earlier process confirmed to it.
+func (ga *Gate) handleUnknownFlow(now time.Time, fp ForwardedPacket, data []byte) {
+	if !ga.mayHold(now, fp.Flow) {
+		ga.decline(fp, data, ReasonNotHeld)
+		return
+	}
+	hf := &hostFlow{
+		flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue,
+	}
+	ga.flows.put(now, fp.Flow, hf)
+	ga.trackRequest(now, fp.Packet, hf)
+	ga.deliver(fp.Flow, data, false)
+}
+
+// handleKnownFlow handles a packet of a flow that the agent knows.
+func (ga *Gate) handleKnownFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
+	switch hf.stage {
+	case stagePending:
+		// This host has not accepted the flow: the caller completes a handshake with
+		// another one, or the packet is a late one of an earlier flow.
+		ga.decline(fp, data, ReasonNotHeld)
+		return
+	case stageAccepted:
+		if !fp.Resets && !acknowledges(fp.Acknowledged, hf.initialSequence) {
+			ga.decline(fp, data, ReasonNotHeld)
+			return
+		}
+		hf.stage = stageOpen
+		ga.setWorking(now, hf, true)
+	case stageTentative:
+		if fp.Mode != DeliverTentatively && !hf.located {
+			ga.decline(fp, data, ReasonNotHeld)
+			return
+		}
+	case stageNotHeld:
+		ga.decline(fp, data, ReasonNotHeld)
+		return
+	case stageLost:
+		ga.decline(fp, data, ReasonHostLost)
+		return
+	}
+	hf.balancer = fp.From
+	ga.trackRequest(now, fp.Packet, hf)
+	ga.deliver(fp.Flow, data, false)
+}
+
+// acknowledges reports whether an acknowledgement number belongs to the
+// acceptance with the given initial sequence number. Before a flow is open the
+// host sends nothing else, so a caller can't acknowledge a later byte; a wider
+// window could match the acknowledgement of another host's acceptance.
+func acknowledges(number, initialSequence uint32) bool {
+	return number-initialSequence <= 1
+}
+
+// HandleFind answers a balancer that searches for the agent of a flow. It returns
+// no action if the host doesn't hold the flow.
+func (ga *Gate) HandleFind(now time.Time, from netip.AddrPort, fr FindRequest) []Action {
+	ga.actions = ga.actions[:0]
+	el, ok := ga.flows.entries[fr.Flow]
+	if !ok {
+		if fr.Possible && ga.mayHold(now, fr.Flow) {
+			ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow})
+		}
+		return ga.actions
+	}
+	hf := el.Value.(*recentEntry[*hostFlow]).value
+	holds := hf.stage == stageOpen || hf.stage == stageLost || hf.stage == stageAccepted && acknowledges(fr.Acknowledged, hf.initialSequence)
+	if holds {
+		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Sure: true})
+	}
+	return ga.actions
+}
+
+// mayHold reports whether the host may hold a flow that the agent doesn't know.
+// This is so within one flow lifetime after the agent's start, if the host may
+// have started before the agent and the address isn't known to belong to other
+// services only.
+func (ga *Gate) mayHold(now time.Time, flow Flow) bool {
+	return ga.hostOlder && now.Sub(ga.started) < ga.lifetime && !ga.servedElsewhere(flow)
+}
+
+// servedElsewhere reports whether the flow's address is known to belong only to
+// other services than the host's. Agents of other services are asked too by a
+// balancer that doesn't know the routes yet.
+func (ga *Gate) servedElsewhere(flow Flow) bool {
+	if ga.routes == nil {
+		return false
+	}
+	ro, ok := ga.routes.Addresses[flow.Service]
+	return ok && ga.known && !ro.Services.Contains(ga.host.Service)
+}
--- /dev/null
+++ b/internal/coordination/carriage/hostflow.go
@@ -0,0 +1,56 @@
+package carriage
+
+import (
+	"container/list"
+	"net/netip"
+	"time"
+)
+
+// stage is the state of a flow at its host, as far as the agent knows.
+type stage uint8
+
+const (
+	// stagePending is an opening that the host has not answered.
+	stagePending stage = iota + 1
+	// stageAccepted is a flow that the host has accepted and whose caller has not
+	// completed the handshake.
+	stageAccepted
+	// stageOpen is a flow that the host holds.
+	stageOpen
+	// stageTentative is a flow that the host may hold and of which a packet was
+	// delivered to find out.
+	stageTentative
+	// stageNotHeld is a flow of which the host returned a packet: it doesn't hold
+	// the flow.
+	stageNotHeld
+	// stageLost is a flow that the host held before it restarted or discarded it.
+	stageLost
+)
+
+// hostFlow is what an agent knows of a flow of its host.
+type hostFlow struct {
+	flow     Flow
+	stage    stage
+	balancer netip.AddrPort
+	// initialSequence is the sequence number of the packet with which the host
+	// accepted the flow.
+	initialSequence uint32
+	// openingSequence is the sequence number of the opening packet. It is the same in
+	// all copies.
+	openingSequence uint32
+	exchange        exchange
+	// working says that the flow counts as in progress: its opening or its request
+	// is not yet answered. answering says that the host has sent data that the
+	// caller has not acknowledged.
+	working, answering bool
+	// closed says that the host has ended the flow.
+	closed bool
+	// touched is when the last packet of an active flow was seen; element is its
+	// position in the list of active flows, nil if it isn't in it.
+	touched time.Time
+	element *list.Element
+	// opened is when the opening was delivered to the host, zero if unknown.
+	opened time.Time
+	// located says, in stageTentative, that the balancer knew the flow to be here.
+	located bool
+}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"net/netip"
-	"slices"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -40,55 +39,6 @@
 	startupTime = 3 * time.Second
 )
 
-// phase is the state of a flow at a balancer.
-type phase uint8
-
-const (
-	// phaseOpening is a flow whose opening was sent to an agent and is not
-	// confirmed.
-	phaseOpening phase = iota + 1
-	// phaseLocated is a flow whose agent is known.
-	phaseLocated
-	// phaseSearching is a flow whose agent is being searched for.
-	phaseSearching
-	// phaseLost is a flow that the last search didn't find.
-	phaseLost
-	// phaseParked is an opening that waits for a host to become available.
-	phaseParked
-)
-
-// trackedFlow is what a balancer knows of one flow.
-type trackedFlow struct {
-	flow   Flow
-	phase  phase
-	agent  *agent
-	opened time.Time
-	// opening is the opening packet until it is confirmed.
-	opening []byte
-	// copyNumber is Packet.Copy of that packet, openingSequence its sequence number,
-	// which all copies share.
-	copyNumber      uint32
-	openingSequence uint32
-	service         string
-	// tried are the agents that the opening was sent to, in order; busy are those
-	// of them that declined it because their hosts were busy.
-	tried []netip.AddrPort
-	busy  []netip.AddrPort
-	// unconfirmed says that a host may have accepted the opening, or may still do
-	// so, without its confirmation being known here.
-	unconfirmed bool
-	// established says that a packet after the opening was forwarded.
-	established bool
-	// extended says that the deadline of this attempt was extended by
-	// tickDelayGrace.
-	extended bool
-	search   search
-	// deadline is when Tick handles the flow next; index is its position in the
-	// heap, -1 while it has no deadline.
-	deadline time.Time
-	index    int
-}
-
 // Placer is the state machine of a balancer: it chooses hosts for new flows and
 // finds the hosts of flows that it doesn't know. It is not safe for concurrent
 // use.
@@ -240,136 +190,6 @@
 	return pl.actions
 }
 
-// handleOpening handles an opening packet or a copy of one.
-func (pl *Placer) handleOpening(now time.Time, pk Packet, data []byte, tf *trackedFlow) {
-	if tf != nil && tf.isReopenedBy(now, pk) {
-		pl.forget(tf)
-		tf = nil
-	}
-	if tf != nil && (tf.phase == phaseOpening || tf.phase == phaseParked) {
-		// An earlier copy is being confirmed by an agent or waits for a host.
-		return
-	}
-	if tf != nil && tf.phase == phaseLocated && tf.agent.takesNewFlows() {
-		tf.phase = phaseOpening
-		tf.opening = append(tf.opening[:0], data...)
-		tf.tried = append(tf.tried[:0], tf.agent.address)
-		pl.sendOpening(now, tf, tf.agent, DeliverOrQueue)
-		return
-	}
-	service, re := pl.serviceOf(pk.Flow)
-	if re != ReasonNone && pl.routes != nil {
-		pl.refuse(pk.Flow, pk.Copy, re)
-		return
-	}
-	if tf != nil {
-		pl.forget(tf)
-	}
-	tf = &trackedFlow{
-		flow: pk.Flow, phase: phaseOpening, opened: now, service: service,
-		copyNumber: pk.Copy, openingSequence: pk.Sequence,
-		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, index: -1,
-	}
-	pl.flows.put(now, pk.Flow, tf)
-	switch {
-	case pl.routes == nil:
-		pl.park(now, tf)
-	case pl.isolated(now):
-		pl.refuseOpening(tf, ReasonIsolated)
-	default:
-		pl.place(now, tf)
-	}
-}
-
-// serviceOf returns the service that a new flow goes to.
-func (pl *Placer) serviceOf(flow Flow) (string, Reason) {
-	if pl.routes == nil {
-		return "", ReasonNoRoute
-	}
-	de, ok := pl.routes.Addresses[flow.Service]
-	if !ok {
-		return "", ReasonNoRoute
-	}
-	service := de.Services.Pick(flow.Hash())
-	if service == "" {
-		return "", ReasonNoRoute
-	}
-	return service, ReasonNone
-}
-
-// place sends the opening packet to the agent with the lowest cost that wasn't
-// tried. The packet is sent as DeliverIfFree while the host is estimated to have a
-// free slot and fewer than maxOffers hosts have declined the opening as busy, else
-// as DeliverOrQueue. If no agent is left or the opening was sent maxAttempts times,
-// it is parked or refused.
-func (pl *Placer) place(now time.Time, tf *trackedFlow) {
-	ag := pl.choose(now, tf)
-	switch {
-	case ag == nil || len(tf.tried) >= maxAttempts:
-		pl.parkOrRefuse(now, tf)
-	case len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots):
-		pl.attempt(now, tf, ag, DeliverIfFree)
-	default:
-		pl.attempt(now, tf, ag, DeliverOrQueue)
-	}
-}
-
-// attempt sends the opening packet to the agent and notes the agent as tried.
-func (pl *Placer) attempt(now time.Time, tf *trackedFlow, ag *agent, mode DeliveryMode) {
-	tf.tried = append(tf.tried, ag.address)
-	pl.sendOpening(now, tf, ag, mode)
-}
-
-// sendOpening sends the opening packet to the agent and sets the deadline of the
-// confirmation.
-func (pl *Placer) sendOpening(now time.Time, tf *trackedFlow, ag *agent, mode DeliveryMode) {
-	tf.agent = ag
-	tf.extended = false
-	ag.sent++
-	pl.postponeSlowRetry(now, ag)
-	pl.forward(ag, tf.flow, tf.opening, Action{
-		Mode: mode, ServiceHash: serviceHash(tf.service), Opening: true, Attempt: len(tf.tried),
-		InProgress: ag.estimate(now), ServiceTime: ag.report.ServiceTime, Reported: ag.reported, Started: tf.started(),
-	})
-	pl.setDeadline(tf, now.Add(ConfirmTimeout))
-}
-
-// handleConfirmTimeout suspects the agent that has not confirmed an opening in
-// time and places the opening again.
-func (pl *Placer) handleConfirmTimeout(now time.Time, tf *trackedFlow) {
-	tf.unconfirmed = true
-	pl.suspectAgent(now, tf.agent)
-	pl.place(now, tf)
-}
-
-// refuse answers an opening packet with a reset. A later copy (copyNumber > 0) is
-// dropped instead, as an earlier one may have been accepted meanwhile, and so is
-// any copy while the routes are unknown.
-func (pl *Placer) refuse(flow Flow, copyNumber uint32, re Reason) {
-	if copyNumber > 0 || pl.routes == nil {
-		pl.drop(flow, re, true)
-		return
-	}
-	pl.actions = append(pl.actions, Action{Kind: KindReset, Flow: flow, Reason: re, Opening: true})
-}
-
-// HandleConfirmation handles an agent's confirmation that its host has accepted
-// the flow, or that the opening waits in the agent's queue.
-func (pl *Placer) HandleConfirmation(now time.Time, from netip.AddrPort, flow Flow, re Report) []Action {
-	pl.actions = pl.actions[:0]
-	ag := pl.applyReport(now, from, re)
-	tf, ok := pl.flows.get(now, flow)
-	if !ok || ag == nil || tf.phase != phaseOpening {
-		return pl.actions
-	}
-	pl.clearDeadline(tf)
-	tf.phase = phaseLocated
-	tf.agent = ag
-	tf.opening = nil
-	pl.actions = append(pl.actions, Action{Kind: KindServed, To: from, Flow: flow, Started: tf.opened})
-	return pl.actions
-}
-
 // HandleDecline handles a packet that an agent declined and sent back.
 func (pl *Placer) HandleDecline(now time.Time, from netip.AddrPort, pk Packet, data []byte, why Reason, re Report) []Action {
 	pl.actions = pl.actions[:0]
@@ -452,36 +272,3 @@
 		heap.Remove(&pl.due, tf.index)
 	}
 }
-
-// started returns when the caller sent the first copy of its opening packet,
-// estimated from the copy's number.
-func (tf *trackedFlow) started() time.Time { return tf.opened.Add(-copyAge(tf.copyNumber)) }
-
-// isReopenedBy reports whether the opening packet is that of another flow between the
-// same addresses, and no copy of the packet that opened this one.
-func (tf *trackedFlow) isReopenedBy(now time.Time, pk Packet) bool {
-	if tf.service != "" && pk.Sequence != tf.openingSequence {
-		return true
-	}
-	return pk.Copy == 0 && now.Sub(tf.opened) > reopenAge
-}
-
-// isOpening reports whether an agent may still decline the flow's opening: it isn't
-// confirmed, or it may be waiting at the agent.
-func (tf *trackedFlow) isOpening() bool {
-	return tf.phase == phaseOpening || tf.phase == phaseLocated && !tf.established
-}
-
-func (tf *trackedFlow) due() time.Time { return tf.deadline }
-
-func (tf *trackedFlow) setIndex(index int) { tf.index = index }
-
-// hasTried reports whether the opening was sent to the agent before and must not
-// be sent there again. Once maxOffers hosts have declined it as busy, it may be
-// sent to them again to be queued.
-func (tf *trackedFlow) hasTried(ag *agent) bool {
-	if len(tf.busy) >= maxOffers && slices.Contains(tf.busy, ag.address) {
-		return false
-	}
-	return slices.Contains(tf.tried, ag.address)
-}
--- /dev/null
+++ b/internal/coordination/carriage/trackedflow.go
@@ -0,0 +1,89 @@
+package carriage
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// phase is the state of a flow at a balancer.
+type phase uint8
+
+const (
+	// phaseOpening is a flow whose opening was sent to an agent and is not
+	// confirmed.
+	phaseOpening phase = iota + 1
+	// phaseLocated is a flow whose agent is known.
+	phaseLocated
+	// phaseSearching is a flow whose agent is being searched for.
+	phaseSearching
+	// phaseLost is a flow that the last search didn't find.
+	phaseLost
+	// phaseParked is an opening that waits for a host to become available.
+	phaseParked
+)
+
+// trackedFlow is what a balancer knows of one flow.
+type trackedFlow struct {
+	flow   Flow
+	phase  phase
+	agent  *agent
+	opened time.Time
+	// opening is the opening packet until it is confirmed.
+	opening []byte
+	// copyNumber is Packet.Copy of that packet, openingSequence its sequence number,
+	// which all copies share.
+	copyNumber      uint32
+	openingSequence uint32
+	service         string
+	// tried are the agents that the opening was sent to, in order; busy are those
+	// of them that declined it because their hosts were busy.
+	tried []netip.AddrPort
+	busy  []netip.AddrPort
+	// unconfirmed says that a host may have accepted the opening, or may still do
+	// so, without its confirmation being known here.
+	unconfirmed bool
+	// established says that a packet after the opening was forwarded.
+	established bool
+	// extended says that the deadline of this attempt was extended by
+	// tickDelayGrace.
+	extended bool
+	search   search
+	// deadline is when Tick handles the flow next; index is its position in the
+	// heap, -1 while it has no deadline.
+	deadline time.Time
+	index    int
+}
+
+// started returns when the caller sent the first copy of its opening packet,
+// estimated from the copy's number.
+func (tf *trackedFlow) started() time.Time { return tf.opened.Add(-copyAge(tf.copyNumber)) }
+
+// isReopenedBy reports whether the opening packet is that of another flow between the
+// same addresses, and no copy of the packet that opened this one.
+func (tf *trackedFlow) isReopenedBy(now time.Time, pk Packet) bool {
+	if tf.service != "" && pk.Sequence != tf.openingSequence {
+		return true
+	}
+	return pk.Copy == 0 && now.Sub(tf.opened) > reopenAge
+}
+
+// isOpening reports whether an agent may still decline the flow's opening: it isn't
+// confirmed, or it may be waiting at the agent.
+func (tf *trackedFlow) isOpening() bool {
+	return tf.phase == phaseOpening || tf.phase == phaseLocated && !tf.established
+}
+
+func (tf *trackedFlow) due() time.Time { return tf.deadline }
+
+func (tf *trackedFlow) setIndex(index int) { tf.index = index }
+
+// hasTried reports whether the opening was sent to the agent before and must not
+// be sent there again. Once maxOffers hosts have declined it as busy, it may be
+// sent to them again to be queued.
+func (tf *trackedFlow) hasTried(ag *agent) bool {
+	if len(tf.busy) >= maxOffers && slices.Contains(tf.busy, ag.address) {
+		return false
+	}
+	return slices.Contains(tf.tried, ag.address)
+}
