--- /dev/null
+++ b/internal/coordination/carriage/gate_bench_test.go
@@ -0,0 +1,62 @@
+package carriage
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// benchFlows is the number of open flows at a host in the benchmarks.
+const benchFlows = 2000
+
+// newBenchGate returns a gate with benchFlows open flows between two requests.
+func newBenchGate() (*Gate, []Flow) {
+	ga := NewGate(began, GateSettings{HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout, FirstStart: true})
+	ga.CheckIn(began, CheckIn{Name: "h", StartedAt: began, Sequence: 1, Service: simService, Slots: 2 * benchFlows})
+	var flows []Flow
+	for i := range benchFlows {
+		flow := Flow{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 8), byte(i)}), 1024), Service: simAddress}
+		forward(ga, Packet{Flow: flow, Opening: true, Sequence: 1})
+		ga.HandleHostPacket(began, Packet{Flow: flow, Accepting: true, Sequence: 1}, nil)
+		flows = append(flows, flow)
+	}
+	return ga, flows
+}
+
+func forward(ga *Gate, pk Packet) {
+	ga.HandleForwarded(began, ForwardedPacket{Packet: pk, ServiceHash: serviceHash(simService), Started: began}, nil)
+}
+
+// BenchmarkRequest serves one request on an open flow: a packet each way and the
+// caller's acknowledgement.
+func BenchmarkRequest(b *testing.B) {
+	ga, flows := newBenchGate()
+	b.ReportAllocs()
+	i, sent, answered := 0, uint32(2), uint32(2)
+	for b.Loop() {
+		flow := flows[i]
+		forward(ga, Packet{Flow: flow, Sequence: sent, Length: 100, Acknowledged: answered})
+		ga.HandleHostPacket(began, Packet{Flow: flow, Sequence: answered, Length: 600}, nil)
+		forward(ga, Packet{Flow: flow, Sequence: sent + 100, Acknowledged: answered + 600})
+		if i++; i == len(flows) {
+			i, sent, answered = 0, sent+100, answered+600
+		}
+	}
+}
+
+// BenchmarkOpenFlows opens benchFlows flows.
+func BenchmarkOpenFlows(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		newBenchGate()
+	}
+}
+
+// BenchmarkIdleTick is the work of one tick while all flows are open and idle.
+func BenchmarkIdleTick(b *testing.B) {
+	ga, flows := newBenchGate()
+	forward(ga, Packet{Flow: flows[0], Sequence: 2, Length: 100, Acknowledged: 2})
+	for b.Loop() {
+		ga.Tick(began.Add(time.Second))
+	}
+}
