fix: connections that carry HTTP/1.1 calls are not used again

Cause: a server that sends a second copy of an answer late, when the connection is in use again, gives the next call an answer that isn't its own; HTTP/1.1 has nothing that ties an answer to its request, and the client takes what comes first. Agents kept connections to their backend server, processes those to the store. A copied "stored" of one change could have been taken for that of the next.

Ruled out: closing a connection on unasked bytes (the library does; it helps only while the connection is idle). Three tests against internal/standin/repeater, which sends the copy before each answer, failed first: the second caller got the first one's answer, the second object the first one's value, and the configuration was taken from a copied list.

--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -121,8 +121,9 @@
 		home:        home,
 		ticketCodec: ticket.NewCodec(ticketKey(cfg.Secret)),
 		backend: &http.Transport{
-			MaxIdleConnsPerHost: cfg.Slots,
-			DisableCompression:  true,
+			DisableCompression: true,
+			// A late second copy of an answer must not reach the next caller.
+			DisableKeepAlives: true,
 		},
 		metrics: requestMetrics{registry: cfg.Metrics},
 		dispatcher: dispatch.NewDispatcher(now, dispatch.Settings{
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -152,6 +152,8 @@
 	cl.http = &http.Client{Transport: &http.Transport{
 		TLSClientConfig:   cl.TLS,
 		ForceAttemptHTTP2: cl.TLS != nil,
+		// A late second copy of an answer must not become the answer to another call.
+		DisableKeepAlives: true,
 	}}
 }
 
