fix(desk): an answer without a declared end is no success

Cause: an answer with neither a length nor chunks ends with its connection. If the backend server broke off, the part that had arrived went to the caller with status 200 and the outcome Answered, and into the ledger as the recorded answer.

Such an answer counts as failed now, with an unknown outcome. Ruled out: answers with a length or in chunks that break off; they were told before (the first rows of TestAnswerThatBreaksOff). The test fails without the change with 200 for 502.

--- a/internal/transport/desk/execute.go
+++ b/internal/transport/desk/execute.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -61,6 +62,10 @@
 		ev.Result = dispatch.ResultRefused
 		return ev
 	}
+	if !declaresEnd(answer) {
+		klog.V(1).InfoS("Backend server's answer may be incomplete", "Backend", ha.cfg.Backend, "Status", answer.StatusCode)
+		return ev
+	}
 	outcome.Strip(answer.Header)
 	limit := maxBufferedAnswer
 	if ac.Buffer {
@@ -81,6 +86,15 @@
 	return ev
 }
 
+// declaresEnd reports whether the answer tells where it ends, by its length or by
+// chunks. If it ends with the connection, an answer that broke off looks complete.
+func declaresEnd(answer *http.Response) bool {
+	if answer.Request != nil && answer.Request.Method == http.MethodHead {
+		return true
+	}
+	return answer.ContentLength >= 0 || slices.Contains(answer.TransferEncoding, "chunked")
+}
+
 // offerStream passes a long answer to the goroutine that serves the caller and
 // waits until that has streamed it.
 func (ta *task) offerStream(ctx context.Context, st answerStream) dispatch.Result {
