fix(waybill): messages stay readable for processes of the former build

Cause: the expected load stood inside the reports, so that a balancer of the former build read a wrong version and a wrong flow from each confirmation of a new agent: while a fleet is replaced one process after the other, no opening would have been confirmed. It stands at the end of confirmations and reports now, which former builds don't read; a declined packet comes without it and the balancer keeps what it knew. A search of a former build, which doesn't say whether it wants possible holders, gets them.

--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -193,6 +193,10 @@
 // HandleDecline handles a packet that an agent declined and sent back.
 func (pl *Placer) HandleDecline(now time.Time, from netip.AddrPort, pk Packet, data []byte, why Reason, re Report) []Action {
 	pl.actions = pl.actions[:0]
+	if known, ok := pl.agents[from]; ok {
+		// The report that comes with a declined packet lacks the expected load.
+		re.Expected = known.report.Expected
+	}
 	ag := pl.applyReport(now, from, re)
 	tf, ok := pl.flows.get(now, pk.Flow)
 	if !pk.Opening {
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -59,7 +59,7 @@
 // KindForward message without its packet.
 const (
 	flowLength    = 2 * (16 + 2)
-	reportLength  = 1 + 2 + 2 + 2 + 2 + 8
+	reportLength  = 1 + 2 + 2 + 2 + 8
 	forwardLength = 1 + 1 + 4 + 8 + 2
 )
 
@@ -123,16 +123,30 @@
 	}, datagram[forwardLength:], nil
 }
 
-// expectedUnit is the number of units in which a report counts one expected
+// expectedUnit is the number of units in which a message counts one expected
 // request.
 const expectedUnit = 256
 
+// appendExpected appends the expected load of a report. It ends the messages that
+// have it, and processes of former builds, which don't know it, read it as nothing.
+func appendExpected(buffer []byte, re carriage.Report) []byte {
+	units := min(max(re.Expected, 0)*expectedUnit, math.MaxUint16)
+	return binary.BigEndian.AppendUint16(buffer, uint16(units))
+}
+
+// decodeExpected sets the expected load from the end of a message, zero if the
+// message comes from a former build.
+func decodeExpected(re *carriage.Report, rest []byte) {
+	if len(rest) >= 2 {
+		re.Expected = float64(binary.BigEndian.Uint16(rest)) / expectedUnit
+	}
+}
+
 func appendReport(buffer []byte, re carriage.Report) []byte {
 	buffer = append(buffer, byte(re.State))
 	buffer = binary.BigEndian.AppendUint16(buffer, re.InProgress)
 	buffer = binary.BigEndian.AppendUint16(buffer, re.Slots)
 	buffer = appendMilliseconds(buffer, re.ServiceTime)
-	buffer = binary.BigEndian.AppendUint16(buffer, uint16(min(max(re.Expected, 0)*expectedUnit, math.MaxUint16)))
 	return binary.BigEndian.AppendUint64(buffer, re.Version)
 }
 
@@ -145,8 +159,7 @@
 		InProgress:  binary.BigEndian.Uint16(datagram[1:]),
 		Slots:       binary.BigEndian.Uint16(datagram[3:]),
 		ServiceTime: decodeMilliseconds(datagram[5:]),
-		Expected:    float64(binary.BigEndian.Uint16(datagram[7:])) / expectedUnit,
-		Version:     binary.BigEndian.Uint64(datagram[9:]),
+		Version:     binary.BigEndian.Uint64(datagram[7:]),
 	}, nil
 }
 
@@ -176,7 +189,7 @@
 
 // AppendConfirm appends a KindConfirm message.
 func AppendConfirm(buffer []byte, flow carriage.Flow, re carriage.Report) []byte {
-	return appendFlow(appendReport(append(buffer, byte(KindConfirm)), re), flow)
+	return appendExpected(appendFlow(appendReport(append(buffer, byte(KindConfirm)), re), flow), re)
 }
 
 // DecodeConfirm returns the flow and the report of a KindConfirm message.
@@ -186,10 +199,14 @@
 		return carriage.Flow{}, re, err
 	}
 	flow, err := decodeFlow(datagram[1+reportLength:])
+	if err == nil {
+		decodeExpected(&re, datagram[1+reportLength+flowLength:])
+	}
 	return flow, re, err
 }
 
-// AppendDecline appends a KindDecline message.
+// AppendDecline appends a KindDecline message. It leaves the report's expected load
+// out.
 func AppendDecline(buffer []byte, reason carriage.Reason, re carriage.Report, packet []byte) []byte {
 	buffer = appendReport(append(buffer, byte(KindDecline)), re)
 	return append(append(buffer, byte(reason)), packet...)
@@ -212,16 +229,18 @@
 	return appendBool(buffer, fr.Possible)
 }
 
-// DecodeFindHolder returns the request of a KindFindHolder message.
+// DecodeFindHolder returns the request of a KindFindHolder message. A former build
+// always wants to know hosts that possibly hold the flow.
 func DecodeFindHolder(datagram []byte) (carriage.FindRequest, error) {
 	flow, err := decodeFlow(datagram[1:])
-	if err != nil || len(datagram) < 1+flowLength+4+1 {
+	rest := datagram[min(1+flowLength, len(datagram)):]
+	if err != nil || len(rest) < 4 {
 		return carriage.FindRequest{Flow: flow}, ErrMalformed
 	}
 	return carriage.FindRequest{
 		Flow:         flow,
-		Acknowledged: binary.BigEndian.Uint32(datagram[1+flowLength:]),
-		Possible:     datagram[1+flowLength+4] == 1,
+		Acknowledged: binary.BigEndian.Uint32(rest),
+		Possible:     len(rest) == 4 || rest[4] == 1,
 	}, nil
 }
 
@@ -253,8 +272,14 @@
 
 // AppendReport appends a KindReport message.
 func AppendReport(buffer []byte, re carriage.Report) []byte {
-	return appendReport(append(buffer, byte(KindReport)), re)
+	return appendExpected(appendReport(append(buffer, byte(KindReport)), re), re)
 }
 
 // DecodeReport returns the report of a KindReport message.
-func DecodeReport(datagram []byte) (carriage.Report, error) { return decodeReport(datagram[1:]) }
+func DecodeReport(datagram []byte) (carriage.Report, error) {
+	re, err := decodeReport(datagram[1:])
+	if err == nil {
+		decodeExpected(&re, datagram[1+reportLength:])
+	}
+	return re, err
+}
