--- a/internal/coordination/members/bench_test.go
+++ b/internal/coordination/members/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -52,3 +53,36 @@
 		})
 	}
 }
+
+// BenchmarkRestartOfAll starts all processes of a fleet within 500 ms, a third of
+// them balancers, each with the entries of all in the store, and runs it for two
+// seconds. It reports what one process sends.
+func BenchmarkRestartOfAll(b *testing.B) {
+	for _, count := range []int{30, 100, 295} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var all []int
+			for i := range count {
+				number := 1 + i
+				if i >= count*91/295 {
+					number += 100
+				}
+				all = append(all, number)
+			}
+			for b.Loop() {
+				fl := newFleet(uint64(count))
+				for i, number := range all {
+					if i%(count/10) == 0 {
+						fl.run(50 * time.Millisecond)
+					}
+					fl.start(number, 1, all, nil)
+				}
+				fl.run(2 * time.Second)
+				if !fl.complete() {
+					b.Fatal("a view is incomplete after 2 s")
+				}
+				b.ReportMetric(float64(fl.sent)/float64(count), "messages/process")
+				b.ReportMetric(float64(fl.bytes)/float64(count), "bytes/process")
+			}
+		})
+	}
+}
