fix(fleet): a farewell counts only when it was answered

Two farewells to processes that had just crashed counted, and none reached the live one. A process whose membership had ended took messages, too, and did nothing with them.

A farewell is a request now; its answer counts, and a process that has left refuses.

Ruled out: the time limit of Leave (its log line was missing).

--- a/internal/transport/fleet/fleet.go
+++ b/internal/transport/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/delivery"
@@ -73,8 +74,8 @@
 	senders map[netip.AddrPort]*sender
 	sending sync.WaitGroup
 	closed  bool
-	// farewellsSent counts the messages that arrived and say that this node is gone.
-	farewellsSent int
+	// farewellsArrived counts the messages that arrived and say that this node is gone.
+	farewellsArrived int
 }
 
 // OpenBalancer returns the membership of a balancer, which Run starts.
@@ -113,9 +114,12 @@
 // Register sets the handler of other nodes' membership messages.
 func (fl *Fleet) Register(mux *link.Mux) {
 	link.On(mux, message.KindMembership, func(_ context.Context, _ link.Peer, pm peerMessage) (any, error) {
-		fl.handle(func(no *membership.Node, now time.Time) []membership.Action {
+		handled := fl.handle(func(no *membership.Node, now time.Time) []membership.Action {
 			return no.Receive(pm.From, pm.Message, now)
 		})
+		if !handled {
+			return nil, errors.Errorf("handle membership message from %s: this node has left", pm.From)
+		}
 		return nil, nil
 	})
 }
@@ -147,12 +151,12 @@
 }
 
 // handle passes an event to the node and carries out the actions it returns. After
-// close it does nothing.
-func (fl *Fleet) handle(event func(no *membership.Node, now time.Time) []membership.Action) {
+// close it does nothing and reports false.
+func (fl *Fleet) handle(event func(no *membership.Node, now time.Time) []membership.Action) bool {
 	fl.mu.Lock()
 	if fl.closed {
 		fl.mu.Unlock()
-		return
+		return false
 	}
 	acts := event(fl.node, time.Now())
 	for _, act := range acts {
@@ -164,6 +168,7 @@
 	for _, act := range acts {
 		fl.carryOut(act)
 	}
+	return true
 }
 
 // carryOut carries out an action that is not a send. It is called without the lock.
--- a/internal/transport/fleet/leave.go
+++ b/internal/transport/fleet/leave.go
@@ -62,16 +62,21 @@
 			others++
 		}
 	}
-	return fl.farewellsSent, min(minFarewells, others)
+	return fl.farewellsArrived, min(minFarewells, others)
 }
 
-// noteSent counts a message that was sent if it is a farewell.
-func (fl *Fleet) noteSent(msg membership.Message) {
+// isFarewell reports whether the message says that this node is gone.
+func (fl *Fleet) isFarewell(msg membership.Message) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	if fl.node.IsFarewell(msg, time.Now()) {
-		fl.farewellsSent++
-	}
+	return fl.node.IsFarewell(msg, time.Now())
+}
+
+// countFarewell counts a farewell that has arrived.
+func (fl *Fleet) countFarewell() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.farewellsArrived++
 }
 
 // pending reports whether any sender is busy.
--- a/internal/transport/fleet/sender.go
+++ b/internal/transport/fleet/sender.go
@@ -115,11 +115,9 @@
 func (sd *sender) deliver(msg membership.Message) {
 	ctx, cancel := context.WithTimeout(sd.fleet.sendContext, sendTimeout)
 	defer cancel()
-	pm := peerMessage{From: sd.fleet.control, Message: msg}
-	err := sd.fleet.cfg.Pool.Send(ctx, sd.peer, message.KindMembership, pm)
+	err := sd.transmit(ctx, msg)
 	if err == nil {
 		sd.fleet.cfg.Registry.Count("MembershipMessagesSent", 1)
-		sd.fleet.noteSent(msg)
 		return
 	}
 	sd.fleet.cfg.Registry.Count("MembershipSendsFailed", 1)
@@ -129,6 +127,20 @@
 	})
 }
 
+// transmit sends a message. A farewell is sent as a request, as only its answer shows
+// that it has arrived.
+func (sd *sender) transmit(ctx context.Context, msg membership.Message) error {
+	pm := peerMessage{From: sd.fleet.control, Message: msg}
+	if !sd.fleet.isFarewell(msg) {
+		return sd.fleet.cfg.Pool.Send(ctx, sd.peer, message.KindMembership, pm)
+	}
+	if err := sd.fleet.cfg.Pool.Call(ctx, sd.peer, message.KindMembership, pm, nil); err != nil {
+		return err
+	}
+	sd.fleet.countFarewell()
+	return nil
+}
+
 // retire removes the sender, unless it has messages or the fleet is closed. It
 // reports whether it did.
 func (sd *sender) retire() bool {
