perf(carriage): searches ask the own failure domain first

Since a search that found nothing asked all agents a second time for possible holders. When the fabric's choice changes, all kept flows of a failure domain are unknown to their balancers; with links of 10 Mbit/s the questions alone then filled them for a second, answers came after the search had ended, and each retransmission searched again.

A repeated search asks for sure and possible holders at once; the first search asks for possible ones only if a candidate is one; and the agents of the balancer's own failure domain, where most flows are, are asked before the others.

--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -10,8 +10,10 @@
 	// candidateWait is how long a search waits for the answers of the flow's
 	// candidates before it asks all agents.
 	candidateWait = 6 * time.Millisecond
-	// allAgentsWait is how long a search waits for the answers of all agents.
-	allAgentsWait = 20 * time.Millisecond
+	// localAgentsWait is how long a search waits for the answers of the agents of the
+	// balancer's own failure domain, allAgentsWait for those of all.
+	localAgentsWait = 10 * time.Millisecond
+	allAgentsWait   = 20 * time.Millisecond
 	// tentativeWait is how long a search waits after the packet was sent to a host
 	// that possibly holds the flow. A host that doesn't hold it returns the packet at
 	// once; one that does may stay silent until it answers the request.
@@ -47,13 +49,19 @@
 	// roundTryCandidates sends the packet to some of the candidates that possibly hold
 	// the flow, one after the other.
 	roundTryCandidates
-	// roundAll asks all agents of the service whether their hosts hold the flow.
-	roundAll
+	// roundLocal asks all agents of the service in the balancer's own failure domain
+	// whether their hosts hold the flow, and in a repeated search also whether they
+	// possibly do. Most flows are there, and a balancer with a slow network could not
+	// ask everyone about each flow after a change of the fabric's choice.
+	roundLocal
+	// roundRemote asks the agents of the other failure domains.
+	roundRemote
 	// roundTryOtherCandidates sends the packet to the rest of the candidates that
 	// possibly hold the flow.
 	roundTryOtherCandidates
-	// roundAllPossible asks all agents whose hosts possibly hold the flow: after a
-	// restart of many agents these are so many that they are asked last and seldom.
+	// roundAllPossible asks all agents whose hosts possibly hold the flow, if a candidate
+	// possibly does: after a restart of many agents these are so many that they are asked
+	// last and seldom.
 	roundAllPossible
 	// roundTryAll sends the packet to those.
 	roundTryAll
@@ -87,6 +95,11 @@
 	// agent of the last one.
 	tentative int
 	trying    netip.AddrPort
+	// doubted says that an agent possibly holds the flow, repeated that the last search
+	// didn't find it.
+	doubted, repeated bool
+	// withPossible says that roundLocal and roundRemote ask for possible holders too.
+	withPossible bool
 	// resumes is, in phaseLost, the time from which a packet starts another search;
 	// askPossible is when roundAllPossible may come next.
 	resumes, askPossible time.Time
@@ -107,6 +120,16 @@
 	}
 }
 
+// mayAskPossible reports whether all agents may be asked for possible holders now. If
+// so, they may not for possibleInterval.
+func (se *search) mayAskPossible(now time.Time) bool {
+	if now.Before(se.askPossible) {
+		return false
+	}
+	se.askPossible = now.Add(possibleInterval)
+	return true
+}
+
 // handleSearchDecline handles a packet that an agent declined during a search. If
 // the search waits for that agent it goes on.
 func (pl *Placer) handleSearchDecline(now time.Time, tf *trackedFlow, from netip.AddrPort) {
@@ -131,11 +154,12 @@
 
 // restartSearch searches from the first round for the agent of a tracked flow.
 func (pl *Placer) restartSearch(now time.Time, tf *trackedFlow, pk Packet, data []byte) {
-	tf.phase = phaseSearching
-	tf.agent = nil
 	tf.search = search{
 		acknowledged: pk.Acknowledged, excluded: tf.search.excluded, askPossible: tf.search.askPossible,
+		repeated: tf.phase == phaseLost,
 	}
+	tf.phase = phaseSearching
+	tf.agent = nil
 	tf.search.buffer(data)
 	pl.nextRound(now, tf)
 }
@@ -167,16 +191,23 @@
 		if pl.ask(tf, pl.candidateAgents(tf.flow), true) > 0 {
 			return candidateWait
 		}
-	case roundAll:
-		if pl.ask(tf, pl.possibleAgents(tf.flow), false) > 0 {
+	case roundLocal:
+		se.withPossible = se.repeated && se.mayAskPossible(now)
+		local, _ := pl.possibleAgents(tf.flow)
+		if pl.ask(tf, local, se.withPossible) > 0 {
+			return localAgentsWait
+		}
+	case roundRemote:
+		_, remote := pl.possibleAgents(tf.flow)
+		if pl.ask(tf, remote, se.withPossible) > 0 {
 			return allAgentsWait
 		}
 	case roundAllPossible:
-		if now.Before(se.askPossible) {
+		if !se.doubted || !se.mayAskPossible(now) {
 			break
 		}
-		se.askPossible = now.Add(possibleInterval)
-		if pl.ask(tf, pl.possibleAgents(tf.flow), true) > 0 {
+		local, remote := pl.possibleAgents(tf.flow)
+		if pl.ask(tf, local, true)+pl.ask(tf, remote, true) > 0 {
 			return allAgentsWait
 		}
 	default:
@@ -220,23 +251,30 @@
 	return list
 }
 
-// possibleAgents returns the agents whose hosts may hold the flow: those of the
-// services of its address, or all agents if none is known for the address.
-func (pl *Placer) possibleAgents(flow Flow) []*agent {
+// possibleAgents returns the agents whose hosts may hold the flow, those of the
+// balancer's own failure domain apart: the agents of the services of its address, or
+// all agents if none is known for the address.
+func (pl *Placer) possibleAgents(flow Flow) (local, remote []*agent) {
 	var list []*agent
 	if pl.routes != nil {
 		for _, ws := range pl.routes.Addresses[flow.Service].Services {
 			list = append(list, pl.pools[ws.Service]...)
 		}
 	}
-	if len(list) > 0 {
-		return list
+	if len(list) == 0 {
+		for _, pool := range pl.pools {
+			list = append(list, pool...)
+		}
+		slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
 	}
-	for _, pool := range pl.pools {
-		list = append(list, pool...)
+	for _, ag := range list {
+		if ag.domain == pl.domain {
+			local = append(local, ag)
+		} else {
+			remote = append(remote, ag)
+		}
 	}
-	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
-	return list
+	return local, remote
 }
 
 // nextPossible removes and returns the next agent whose host possibly holds the
@@ -262,6 +300,7 @@
 		return pl.actions
 	}
 	if !sure {
+		tf.search.doubted = true
 		if !slices.Contains(tf.search.possible, from) {
 			tf.search.possible = append(tf.search.possible, from)
 		}
