refactor(carriage): one function ends a flow's progress

No behaviour changes; tests of carriage, carrier, platform and the other decision cores pass, the linter is clean.

--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -90,8 +90,7 @@
 		next := el.Next()
 		hf := el.Value.(*recentEntry[*hostFlow]).value
 		if hf.stage == stageOpen {
-			ga.setWorking(now, hf, false)
-			ga.setAnswering(now, hf, false)
+			ga.endProgress(now, hf)
 			hf.stage = stageLost
 		} else {
 			ga.forget(now, hf)
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -281,8 +281,7 @@
 		idle = min(idle, 2*ga.routes.IdleTimeout)
 	}
 	for _, hf := range ga.flows.expire(now.Add(-idle), maxHostFlows) {
-		ga.setWorking(now, hf, false)
-		ga.setAnswering(now, hf, false)
+		ga.endProgress(now, hf)
 	}
 }
 
@@ -302,7 +301,6 @@
 }
 
 func (ga *Gate) forget(now time.Time, hf *hostFlow) {
-	ga.setWorking(now, hf, false)
-	ga.setAnswering(now, hf, false)
+	ga.endProgress(now, hf)
 	ga.flows.remove(hf.flow)
 }
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -37,8 +37,7 @@
 		re = ReasonHostRefused
 		ga.eject(now)
 	}
-	ga.setWorking(now, hf, false)
-	ga.setAnswering(now, hf, false)
+	ga.endProgress(now, hf)
 	hf.stage = stageNotHeld
 	if re == ReasonHostLost {
 		hf.stage = stageLost
--- a/internal/coordination/carriage/progress.go
+++ b/internal/coordination/carriage/progress.go
@@ -26,6 +26,12 @@
 	ga.updateActive(now, hf)
 }
 
+// endProgress ends the request and the answer of the flow, if any.
+func (ga *Gate) endProgress(now time.Time, hf *hostFlow) {
+	ga.setWorking(now, hf, false)
+	ga.setAnswering(now, hf, false)
+}
+
 // updateActive keeps the flow in the list of active flows while it is in progress
 // or answering.
 func (ga *Gate) updateActive(now time.Time, hf *hostFlow) {
@@ -55,8 +61,7 @@
 			return
 		}
 		hf.exchange.requested = time.Time{}
-		ga.setWorking(now, hf, false)
-		ga.setAnswering(now, hf, false)
+		ga.endProgress(now, hf)
 	}
 }
 
