--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -222,7 +222,7 @@
 			}
 		default:
 			if bo.failures > 0 {
-				klog.InfoS("Store regained", "failures", bo.failures)
+				klog.InfoS("Store regained", "failures", bo.failures, "before", revision, "revision", next)
 			}
 			bo.failures = 0
 			revision = next
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -284,6 +284,9 @@
 // called with mu held.
 func (no *node) setRoutes(now time.Time, ro *catalog.Routes, source string) {
 	if no.routes != nil && ro.Version <= no.routes.Version {
+		if ro.Version < no.routes.Version {
+			klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", no.routes.Version, "source", source)
+		}
 		return
 	}
 	before := uint64(0)
