fix(carrier): a process's entry is rewritten until the store takes it

Callers saw nothing; a process that starts while no seed answers could not find the member. A member that was removed and comes back is told once that its entry may be gone. If the store was away at that moment the entry stayed missing for good, as nobody says it twice.

Class: what a process has to keep in the store is written once, and its absence is never looked for again.

--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -69,15 +69,21 @@
 	return no.view.Self()
 }
 
-// rewriteEntry writes the process's own entry again, because another member may
-// have removed it. A failure is logged only: the next attempt is made when a member
-// reports again that it had removed the process.
+// rewriteEntry writes the process's own entry again, because the store may lack it.
+// It is repeated until it succeeds, as nobody may report the entry missing again.
 func (no *node) rewriteEntry(ctx context.Context) {
-	if err := no.writeEntry(ctx); err != nil {
-		klog.ErrorS(err, "Store entry not rewritten")
-		return
+	var bo backoff
+	for {
+		err := no.writeEntry(ctx)
+		if err == nil {
+			break
+		}
+		klog.ErrorS(err, "Store entry not rewritten", "failures", bo.failures)
+		if !bo.wait(ctx, maxJoinBackoff) {
+			return
+		}
 	}
-	klog.InfoS("Store entry rewritten")
+	klog.InfoS("Store entry rewritten", "failures", bo.failures)
 }
 
 // removeStaleEntries removes the store entries of members that were removed from
