fix(carrier): the store's entries are compared with the members after a restore

What was lost: the entry of a process that started in the seconds the copy lacks was gone for good, and entries of processes that had left stood again. A process that starts while no seed answers reads them: it would miss the first and greet the second for 15 s.

Cause: an entry was written at the process's start and removed once, from a queue, when a member was removed; nobody looked whether it stayed that way. The class is that of the watch: what the store said once is taken for good.

The balancer with the lowest address now lists the entries 2 s after a watch has met another history or a member was removed. It removes those of members that its view remembers as removed, and tells members without one to write it, which are the same messages as before (the flag is called EntryMissing, at the same place). It does so again every 20 s until nothing is missing.

--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -54,8 +54,9 @@
 	Version uint64
 	// WantAnswer asks for a greeting in return.
 	WantAnswer bool
-	// WasRemoved says that the sender had removed the receiver from its view.
-	WasRemoved bool
+	// EntryMissing says that the receiver's entry may be missing from the store: the
+	// sender had removed the receiver from its view, or found no entry of it.
+	EntryMissing bool
 	// WantView asks for the receiver's view without a comparison of the digests. An
 	// answer has it set if the digests differ; its sender then sends its own view
 	// as well.
@@ -113,7 +114,7 @@
 	// Data, of the version Version.
 	KindConfiguration
 	// KindRegister asks for the process's entry in the store to be written again:
-	// another member had removed the process, so the entry may have been deleted.
+	// another member says that it may be missing.
 	KindRegister
 	// KindRemoved reports that the member To did not answer and was removed.
 	KindRemoved
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -232,6 +233,26 @@
 	return vi.actions
 }
 
+// Removed returns the addresses of the members that were removed less than
+// rememberRemoved ago and haven't come back, sorted.
+func (vi *View) Removed() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(vi.removed), netip.AddrPort.Compare)
+}
+
+// ReportMissingEntries tells the members at the addresses that the store has no
+// entry of them, so that they write it again.
+func (vi *View) ReportMissingEntries(addresses []netip.AddrPort) []Action {
+	vi.actions = vi.actions[:0]
+	for _, address := range addresses {
+		if me, ok := vi.members[address]; ok {
+			gr := vi.greeting(me.record.Role, false, false)
+			gr.EntryMissing = true
+			vi.send(address, Message{Greeting: gr})
+		}
+	}
+	return vi.actions
+}
+
 // leastRecentlyContacted returns the member that was greeted or heard least
 // recently, nil if there is none.
 func (vi *View) leastRecentlyContacted() *member {
@@ -346,7 +367,7 @@
 	me.unanswered = 0
 	me.version = max(me.version, gr.Version)
 	vi.joined = true
-	if gr.WasRemoved {
+	if gr.EntryMissing {
 		vi.actions = append(vi.actions, Action{Kind: KindRegister})
 	}
 	share := gr.WantAnswer && !gr.WantView && gr.Digest != vi.digestFor(gr.Record.Role) && !now.Before(vi.nextShare)
@@ -355,7 +376,7 @@
 	}
 	if gr.WantAnswer {
 		answer := vi.greeting(gr.Record.Role, false, share)
-		answer.WasRemoved = removed
+		answer.EntryMissing = removed
 		vi.send(from, Message{Greeting: answer})
 	}
 	if gr.WantView || share {
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -96,7 +96,7 @@
 			gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
-			gr.Go(func() error { return ba.removeStaleEntries(work) })
+			gr.Go(func() error { return ba.reviewEntries(work) })
 		},
 		drain: func(now time.Time) {
 			ba.draining = true
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 const (
@@ -15,8 +17,11 @@
 	// hangs while the store becomes available again must not delay a process that
 	// starts.
 	callTimeout = 700 * time.Millisecond
-	// cleanInterval is the shortest time between two removals of stale entries.
-	cleanInterval = 20 * time.Second
+	// reviewDelay is the time from the reason for a review of the entries to the
+	// review. Processes that start write their entries within it.
+	reviewDelay = 2 * time.Second
+	// reviewInterval is the shortest time between two reviews.
+	reviewInterval = 20 * time.Second
 )
 
 // register writes the process's own entry. If readEntries is set it first reads
@@ -86,19 +91,21 @@
 	klog.InfoS("Store entry rewritten", "failures", bo.failures)
 }
 
-// removeStaleEntries removes the store entries of members that were removed from
-// the view. Only the balancer with the lowest address does so.
-func (no *node) removeStaleEntries(ctx context.Context) error {
+// reviewEntries compares the entries in the store with the view, whenever a member was
+// removed or the store was restored. Only the balancer with the lowest address does
+// so; the others check now and then whether they have become that balancer.
+func (no *node) reviewEntries(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case address := <-no.removedMembers:
-			if no.hasLowestAddress() {
-				no.removeEntriesOf(ctx, address)
-			}
+		case <-no.entriesDoubtful:
 		}
-		if !sleepContext(ctx, cleanInterval) {
+		pause := reviewDelay
+		for sleepContext(ctx, pause) && !(no.hasLowestAddress() && no.reviewOnce(ctx)) {
+			pause = reviewInterval
+		}
+		if !sleepContext(ctx, reviewInterval) {
 			return nil
 		}
 	}
@@ -116,23 +123,69 @@
 	return true
 }
 
-// removeEntriesOf removes the entries of the address and of all other addresses
-// that wait in removedMembers. A failure is logged only.
-func (no *node) removeEntriesOf(ctx context.Context, address netip.AddrPort) {
-	gone := map[netip.AddrPort]struct{}{address: {}}
-	for len(no.removedMembers) > 0 {
-		gone[<-no.removedMembers] = struct{}{}
-	}
+// reviewOnce removes the entries of removed members and tells the members that have no
+// entry to write theirs. It reports whether nothing was missing or failed. A failure
+// is logged only.
+func (no *node) reviewOnce(ctx context.Context) bool {
 	entries, err := no.listEntries(ctx)
 	if err != nil {
-		klog.ErrorS(err, "Stale entries not removed", "count", len(gone))
-		return
+		klog.ErrorS(err, "Store entries not reviewed")
+		return false
+	}
+	no.mu.Lock()
+	removed := no.view.Removed()
+	missing := no.membersWithoutEntry(entries)
+	no.mu.Unlock()
+	complete := no.removeEntriesOf(ctx, removed, entries)
+	klog.InfoS("Store entries reviewed", "entries", len(entries), "missing", missing, "removed", len(removed))
+	no.reportMissing(missing)
+	return complete && len(missing) == 0
+}
+
+// membersWithoutEntry returns the addresses of the members, the process itself
+// included, that stay and have no entry. It is called with mu held.
+func (no *node) membersWithoutEntry(entries []Entry) []netip.AddrPort {
+	written := make(map[netip.AddrPort]members.Role, len(entries))
+	for _, en := range entries {
+		written[en.Record.Address] = en.Record.Role
+	}
+	var missing []netip.AddrPort
+	for _, re := range append(no.view.Records(), no.view.Self()) {
+		leaves := re.State == register.StateDraining || re.State == register.StateGone
+		if !leaves && written[re.Address] != re.Role {
+			missing = append(missing, re.Address)
+		}
+	}
+	return missing
+}
+
+// reportMissing tells the members at the addresses that their entries are missing.
+func (no *node) reportMissing(missing []netip.AddrPort) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if slices.Contains(missing, no.settings.Peers) {
+		signal(no.entryMissing)
 	}
+	no.performMemberActions(time.Now(), no.view.ReportMissingEntries(missing))
+}
+
+// removeEntriesOf removes the entries of the addresses. It reports whether none failed.
+func (no *node) removeEntriesOf(ctx context.Context, gone []netip.AddrPort, entries []Entry) bool {
+	complete := true
 	for _, en := range entries {
-		if _, ok := gone[en.Record.Address]; !ok {
+		if !slices.Contains(gone, en.Record.Address) {
 			continue
 		}
-		err := no.store.RemoveEntry(ctx, en)
+		err := no.removeEntry(ctx, en)
+		complete = complete && err == nil
 		klog.InfoS("Stale entry removed", "name", en.Name, "member", en.Record.Address, "err", err)
 	}
+	return complete
+}
+
+// removeEntry removes an entry from the store.
+func (no *node) removeEntry(ctx context.Context, en Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return no.store.RemoveEntry(ctx, en)
 }
--- a/internal/transport/carrier/entries_test.go
+++ b/internal/transport/carrier/entries_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
@@ -30,6 +31,12 @@
 	return no
 }
 
+func agentAt(address string) members.Record {
+	return members.Record{
+		Revision: register.Revision{Incarnation: 1}, Address: netip.MustParseAddrPort(address), Role: members.RoleAgent, Domain: "a",
+	}
+}
+
 func TestEntryIsWrittenOnceTheStoreIsBack(t *testing.T) {
 	attempts := 0
 	no := openNode(t, Store{WriteEntry: func(context.Context, string, members.Record) error {
@@ -46,3 +53,38 @@
 		})
 	})
 }
+
+func TestEntryOfARemovedMemberThatARestoreBroughtBackIsRemoved(t *testing.T) {
+	Convey("A review removes the entry of a member that is gone and keeps the others", t, func() {
+		gone, silent, present := agentAt("127.0.0.1:8"), agentAt("127.0.0.1:9"), agentAt("127.0.0.1:10")
+		var removed []string
+		no := openNode(t, Store{
+			ListEntries: func(context.Context) ([]Entry, error) {
+				return []Entry{
+					{Name: "gone", Record: gone},
+					{Name: "present", Record: present},
+					{Name: "unknown", Record: agentAt("127.0.0.1:11")},
+				}, nil
+			},
+			RemoveEntry: func(_ context.Context, en Entry) error {
+				removed = append(removed, en.Name)
+				return nil
+			},
+		})
+		now := time.Now()
+		greet := func(re members.Record) {
+			no.view.Handle(now, re.Address, members.Message{Greeting: &members.Greeting{Record: re}})
+		}
+		greet(gone)
+		for range 40 {
+			now = now.Add(members.GreetInterval)
+			greet(present)
+			greet(silent)
+			no.view.Tick(now)
+		}
+		So(no.view.Removed(), ShouldResemble, []netip.AddrPort{gone.Address})
+		So(no.reviewOnce(t.Context()), ShouldBeFalse)
+		So(removed, ShouldResemble, []string{"gone"})
+		So(no.membersWithoutEntry(nil), ShouldResemble, []netip.AddrPort{silent.Address, present.Address, no.settings.Peers})
+	})
+}
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -30,6 +30,7 @@
 func (no *node) followRoutes(ctx context.Context) error {
 	var bo, expired backoff
 	var position Position
+	var history History
 	for ctx.Err() == nil {
 		if position.Revision > 0 && !no.watchesStore() {
 			sleepContext(ctx, watcherCheckInterval)
@@ -59,7 +60,10 @@
 			if position.Revision > 0 {
 				expired.failures = 0
 			}
-			position = next
+			if history != next.History && history != (History{}) {
+				signal(no.entriesDoubtful)
+			}
+			position, history = next, next.History
 		}
 	}
 	return nil
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -21,7 +21,7 @@
 
 // join makes the process a member: it greets the seeds, greets the members whose
 // entries it finds in the store and writes its own entry. It writes the entry
-// again whenever another member may have removed it. At the first start of the
+// again whenever another member says that it may be missing. At the first start of the
 // whole system an agent that a seed answers within seedTimeout doesn't read the
 // entries.
 func (no *node) join(ctx context.Context) error {
@@ -43,7 +43,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-no.entryRemoved:
+		case <-no.entryMissing:
 			no.rewriteEntry(ctx)
 		}
 	}
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -27,9 +27,6 @@
 	// readBufferSize is the size of the kernel's receive buffer of a socket in
 	// bytes. It holds a burst that arrives while the process waits for a CPU.
 	readBufferSize = 1 << 20
-	// maxRemovedMembers bounds the removed members whose entries in the store wait to
-	// be removed.
-	maxRemovedMembers = 64
 	// readHeaderTimeout bounds how long a client may take to send the header of an
 	// HTTP request.
 	readHeaderTimeout = 2 * time.Second
@@ -78,12 +75,12 @@
 	// onRoutes handles routes that are put in force.
 	onRoutes func(now time.Time, ro *catalog.Routes)
 
-	// entryRemoved is signaled when the process's own entry in the store may have
-	// been removed.
-	entryRemoved chan struct{}
-	// removedMembers holds the addresses of removed members whose entries are to be
-	// removed from the store.
-	removedMembers chan netip.AddrPort
+	// entryMissing is signaled when the process's own entry may be missing from the
+	// store.
+	entryMissing chan struct{}
+	// entriesDoubtful is signaled when the store may hold entries of processes that
+	// are gone, or lack entries of members.
+	entriesDoubtful chan struct{}
 }
 
 // newNode opens the socket for messages between processes. The caller sets the
@@ -100,8 +97,8 @@
 			Revision: register.Revision{Incarnation: uint64(now.UnixMilli())},
 			Address:  st.Peers, Role: role, Domain: st.Domain,
 		}),
-		entryRemoved:   make(chan struct{}, 1),
-		removedMembers: make(chan netip.AddrPort, maxRemovedMembers),
+		entryMissing:    make(chan struct{}, 1),
+		entriesDoubtful: make(chan struct{}, 1),
 	}
 	no.timer = time.AfterFunc(math.MaxInt64, no.handleTimer)
 	return no, nil
@@ -223,15 +220,11 @@
 		case members.KindConfiguration:
 			no.handleRoutes(now, ac.Data, ac.Version)
 		case members.KindRegister:
-			signal(no.entryRemoved)
+			signal(no.entryMissing)
 		case members.KindRemoved:
 			klog.InfoS("Member removed", "member", ac.To, "silent", now.Sub(ac.Since).Round(time.Millisecond))
 			removed = append(removed, ac.To)
-			select {
-			case no.removedMembers <- ac.To:
-			default:
-				// Too many members wait; the entry of this one stays in the store.
-			}
+			signal(no.entriesDoubtful)
 		}
 	}
 	for _, re := range changed {
