fix(platform): a list of entries belongs to one history

Callers saw nothing. A list that a restore interrupts mixed the pages of two histories: entries that the restored store doesn't have beside its own. A process that starts greets processes that may be gone, or takes its own entry for present and doesn't write it.

Cause and class as of the watch: pages were put together without asking whether they come from one history. The list is now begun anew when a page names another one; a restore takes seconds, so that ends.

--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -78,9 +78,9 @@
 type Entry struct {
 	// Name is the name of the process.
 	Name string
-	// Revision is the store's revision of the entry's last change.
-	Revision uint64
-	Record   members.Record
+	// Position is that of the entry's last change.
+	Position
+	Record members.Record
 }
 
 // Store holds the functions that call the platform's store.
