fix(platform): a condition on a revision holds only in its history

Callers saw nothing. The removal of a stale entry, and the second call of the writing of an own one, are conditional on a revision. After a restore another entry of the same name may have that revision: that of a live process was removed, and the caller was told that all went well.

--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -87,9 +87,12 @@
 type Store struct {
 	// ListEntries returns the entries of all processes.
 	ListEntries func(ctx context.Context) ([]Entry, error)
-	// WriteEntry writes the entry of this process under the name.
+	// WriteEntry writes the entry of this process under the name. ErrRevisionExpired is
+	// returned, wrapped, if the store was restored meanwhile.
 	WriteEntry func(ctx context.Context, name string, re members.Record) error
 	// RemoveEntry removes an entry unless it has changed since it was read.
+	// ErrRevisionExpired is returned, wrapped, if the store was restored since then;
+	// another entry of the same name may be removed then.
 	RemoveEntry func(ctx context.Context, en Entry) error
 	// Routes reads the configuration and the store's position. The routes are nil
 	// if the store has no configuration.
