fix(carrier): the store is asked again soon after it was silent

Callers saw: a change that was confirmed while no machine reached the store was read up to 4.5 s after the machines reached it again.

Cause: a watch of a store that doesn't answer ended 0.7 s after its wait of 1.8 s, and the pause of up to 2 s began only then. After a failure a watch now asks for an answer at once, and pauses count from the start of the attempt.

--- a/internal/transport/carrier/backoff.go
+++ b/internal/transport/carrier/backoff.go
@@ -13,19 +13,19 @@
 	maxBackoff = 2 * time.Second
 )
 
-// backoff computes the pause before the next attempt. It doubles with each
-// failure.
+// backoff computes the pause between two attempts. It doubles with each failure.
 type backoff struct {
 	failures int
 }
 
-// wait counts a failure and pauses for a random time between half and the whole of
-// the backoff, which is at most maxPause, so that processes don't retry at the same
-// time. It reports false if the context ended first.
-func (bo *backoff) wait(ctx context.Context, maxPause time.Duration) bool {
+// wait counts a failure of the attempt that began at the given time. It waits until a
+// random time between half and the whole of the pause has passed since then, so that
+// processes don't retry at the same time; the pause is at most maxPause. It reports
+// false if the context ended first.
+func (bo *backoff) wait(ctx context.Context, began time.Time, maxPause time.Duration) bool {
 	pause := min(minBackoff<<min(bo.failures, 6), maxPause)
 	bo.failures++
-	return sleepContext(ctx, pause/2+rand.N(pause/2))
+	return sleepContext(ctx, pause/2+rand.N(pause/2)-time.Since(began))
 }
 
 // sleepContext waits for the pause. It reports false if the context ended first.
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -79,12 +79,13 @@
 func (no *node) rewriteEntry(ctx context.Context) {
 	var bo backoff
 	for {
+		began := time.Now()
 		err := no.writeEntry(ctx)
 		if err == nil {
 			break
 		}
 		klog.ErrorS(err, "Store entry not rewritten", "failures", bo.failures)
-		if !bo.wait(ctx, maxJoinBackoff) {
+		if !bo.wait(ctx, began, maxJoinBackoff) {
 			return
 		}
 	}
--- a/internal/transport/carrier/entries_test.go
+++ b/internal/transport/carrier/entries_test.go
@@ -39,14 +39,14 @@
 
 func TestEntryIsWrittenOnceTheStoreIsBack(t *testing.T) {
 	attempts := 0
-	no := openNode(t, Store{WriteEntry: func(context.Context, string, members.Record) error {
-		attempts++
-		if attempts < 4 {
-			return errStore
-		}
-		return nil
-	}})
 	synctest.Test(t, func(t *testing.T) {
+		no := openNode(t, Store{WriteEntry: func(context.Context, string, members.Record) error {
+			attempts++
+			if attempts < 4 {
+				return errStore
+			}
+			return nil
+		}})
 		no.rewriteEntry(t.Context())
 		Convey("An entry that could not be rewritten at first is written later", t, func() {
 			So(attempts, ShouldEqual, 4)
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -26,7 +26,8 @@
 // followRoutes reads the routes from the store, and then watches it for newer ones
 // while watchesStore reports true. It reads them again if the position to watch from
 // has expired: at once the first time, after a pause if that happens again before a
-// watch has succeeded.
+// watch has succeeded. After a failure a watch doesn't wait for a change, so that it
+// ends early where the store doesn't answer.
 func (no *node) followRoutes(ctx context.Context) error {
 	var bo, expired backoff
 	var position Position
@@ -36,20 +37,25 @@
 			sleepContext(ctx, watcherCheckInterval)
 			continue
 		}
-		next, err := no.fetchRoutes(ctx, position)
+		began := time.Now()
+		deadline := began
+		if bo.failures == 0 {
+			deadline = began.Add(watchTimeout)
+		}
+		next, err := no.fetchRoutes(ctx, position, deadline)
 		switch {
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, ErrRevisionExpired):
 			klog.InfoS("Revision expired in the store; reading the configuration again", "position", position, "reason", err)
 			position = Position{}
-			if expired.failures > 0 && !expired.wait(ctx, maxBackoff) {
+			if expired.failures > 0 && !expired.wait(ctx, began, maxBackoff) {
 				return nil
 			}
 			expired.failures++
 		case err != nil:
 			no.reportStoreFailure(err, &bo)
-			if !bo.wait(ctx, no.retryPause()) {
+			if !bo.wait(ctx, began, no.retryPause()) {
 				return nil
 			}
 		default:
@@ -106,11 +112,11 @@
 }
 
 // fetchRoutes reads the routes if nothing was read before the position, and otherwise
-// waits for newer ones. Routes that it receives are published. It returns the
-// position to watch from.
-func (no *node) fetchRoutes(ctx context.Context, position Position) (Position, error) {
+// waits for newer ones until the deadline. Routes that it receives are published. It
+// returns the position to watch from.
+func (no *node) fetchRoutes(ctx context.Context, position Position, deadline time.Time) (Position, error) {
 	if position.Revision > 0 {
-		ro, next, err := no.store.Watch(ctx, position, time.Now().Add(watchTimeout))
+		ro, next, err := no.store.Watch(ctx, position, deadline)
 		if err == nil && ro != nil {
 			no.publish(ro)
 		}
--- a/internal/transport/carrier/join.go
+++ b/internal/transport/carrier/join.go
@@ -29,12 +29,13 @@
 	readEntries := !no.firstStart || !sleepContext(ctx, seedTimeout) || !no.joined()
 	var bo backoff
 	for {
+		began := time.Now()
 		err := no.register(ctx, readEntries)
 		if err == nil {
 			break
 		}
 		klog.ErrorS(err, "Store unreachable; members can be found through seeds only", "failures", bo.failures)
-		if !bo.wait(ctx, maxBackoff) {
+		if !bo.wait(ctx, began, maxBackoff) {
 			return nil
 		}
 	}
@@ -54,7 +55,7 @@
 // written.
 func (no *node) retryUntilJoined(ctx context.Context) {
 	var bo backoff
-	for bo.wait(ctx, maxJoinBackoff) && !no.joined() {
+	for bo.wait(ctx, time.Now(), maxJoinBackoff) && !no.joined() {
 		if err := no.register(ctx, true); err != nil {
 			klog.ErrorS(err, "Store unreachable and no other member has answered", "failures", bo.failures)
 		}
