test(standin): the object store gives versions out again after a restore

Versions now go back with the copy and are given out again, every answer names the era (Store-Era), and the client hands it on with the answer. In the simulated fleet a store that is down cuts off the watches, and no longer answers those that wait.

--- a/internal/coordination/archive/archive.go
+++ b/internal/coordination/archive/archive.go
@@ -43,7 +43,10 @@
 type Object struct {
 	Name    string
 	Version uint64
-	Value   []byte
+	// Era is the store's era when it answered, zero if unknown. Versions of different
+	// eras can't be compared.
+	Era   uint64
+	Value []byte
 	// StoreTime is the store's clock when it answered, zero if unknown.
 	StoreTime time.Time
 }
--- a/internal/protocol/object/object.go
+++ b/internal/protocol/object/object.go
@@ -14,7 +14,8 @@
 //	DELETE /objects/NAME              with If-Match deletes
 //
 // ETag holds the version, Last-Modified the time of the last write, Date the time
-// of the store's clock, and the body is the value. The body of an error answer is
+// of the store's clock, Store-Era how often the store was restored from a copy, and
+// the body is the value. The body of an error answer is
 // a Problem in JSON (RFC 9457); its Executed field tells whether the call took
 // effect.
 //
@@ -42,10 +43,26 @@
 // Root is the URL path of the list of objects and the prefix of their paths.
 const Root = "/objects"
 
-// Version identifies a write of one object. Versions are compared for equality
-// only.
+// Version identifies a write of one object within an era. Versions are compared for
+// equality only. After a restore the store gives out the same numbers again.
 type Version uint64
 
+// Era counts how often the store was restored from a copy. It is 1 before the first
+// restore, and 0 stands for a store that doesn't say.
+type Era uint64
+
+// EraHeader is the header of every answer that holds the era.
+const EraHeader = "Store-Era"
+
+// ParseEra returns the era of an answer, 0 if it names none.
+func ParseEra(he http.Header) Era {
+	era, err := strconv.ParseUint(he.Get(EraHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return Era(era)
+}
+
 // Absent is the version of an object that does not exist: a write that is
 // conditional on it creates the object.
 const Absent Version = 0
@@ -59,7 +76,9 @@
 	// Asked is the time of the answer by the store's clock, zero if the answer gave
 	// none.
 	Asked time.Time `json:",omitzero"`
-	Value []byte    `json:",omitempty"`
+	// Era is the store's era when it answered.
+	Era   Era    `json:",omitzero"`
+	Value []byte `json:",omitempty"`
 	// Size is the size of the value in bytes, also where Value is left out.
 	Size int
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,6 +17,7 @@
 // an answer if a fault requires that.
 func (se *Server) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	rw.Header().Set("Date", se.Now().UTC().Format(http.TimeFormat))
+	se.setEra(rw)
 	name, single := strings.CutPrefix(rq.URL.Path, object.Root+"/")
 	wait := object.ParsePreference(rq.Header.Get("Prefer"))
 	fa := se.countCall(rq.Method, single, wait > 0)
@@ -83,6 +85,14 @@
 	}
 }
 
+// setEra sets the header with the present era. A call that waits sets it again before
+// its answer.
+func (se *Server) setEra(rw http.ResponseWriter) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	rw.Header().Set(object.EraHeader, strconv.FormatUint(uint64(se.objects.Era()), 10))
+}
+
 func (se *Server) list(rw http.ResponseWriter, prefix string) {
 	se.mu.Lock()
 	li := se.objects.List(prefix)
@@ -105,6 +115,7 @@
 		return
 	}
 	found, err := se.waitForVersion(rq.Context(), name, version, se.Now().Add(wait))
+	se.setEra(rw)
 	writeObject(rw, found, err)
 }
 
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -14,13 +14,17 @@
 type Objects struct {
 	stored      map[string]object.Object
 	lastVersion object.Version
+	era         object.Era
 }
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{stored: make(map[string]object.Object)}
+	return &Objects{stored: make(map[string]object.Object), era: 1}
 }
 
+// Era returns the present era.
+func (ob *Objects) Era() object.Era { return ob.era }
+
 // Get returns the object, or object.ErrNotFound.
 func (ob *Objects) Get(name string) (object.Object, error) {
 	found, ok := ob.stored[name]
@@ -91,18 +95,14 @@
 		copied.stored[name] = found
 	}
 	copied.lastVersion = ob.lastVersion
+	copied.era = ob.era
 	return copied
 }
 
-// Restore replaces all objects by those of a backup and gives each a new version,
-// higher than any before, so that no condition from before the restore holds.
+// Restore replaces all objects by those of a backup and begins the next era. Versions
+// go back with them: those given out since the backup are given out again.
 func (ob *Objects) Restore(backup *Objects) {
-	lastVersion := ob.lastVersion
+	era := ob.era
 	*ob = *backup.Backup()
-	ob.lastVersion = max(ob.lastVersion, lastVersion)
-	for name, found := range ob.stored {
-		ob.lastVersion++
-		found.Version = ob.lastVersion
-		ob.stored[name] = found
-	}
+	ob.era = era + 1
 }
--- a/internal/standin/spread/store.go
+++ b/internal/standin/spread/store.go
@@ -68,7 +68,8 @@
 	fl.NotifyWatches()
 }
 
-// NotifyWatches answers the waiting watch calls after the root was written.
+// NotifyWatches answers the waiting watch calls after the root was written. While the
+// store is down they are cut off.
 func (fl *Fleet) NotifyWatches() {
 	found, err := fl.Objects.Get(change.RootName)
 	if err != nil {
@@ -78,7 +79,13 @@
 	waiting := fl.watches
 	fl.watches = nil
 	for _, wa := range waiting {
-		fl.after(fl.latency(), func() { wa.answer(fl.rootAnswer()) })
+		fl.after(fl.latency(), func() {
+			if fl.StoreDown {
+				wa.answer(archive.Answer{Result: archive.ResultUnanswered})
+				return
+			}
+			wa.answer(fl.rootAnswer())
+		})
 	}
 }
 
@@ -144,7 +151,11 @@
 		}
 	}
 	fl.watches = append(fl.watches, watch{version: ac.Call.Version, until: ac.Call.Until, answer: once})
-	fl.after(ac.Call.Until.Sub(fl.Now), func() { once(archive.Answer{Result: archive.ResultUnchanged}) })
+	fl.after(ac.Call.Until.Sub(fl.Now), func() {
+		if !fl.StoreDown {
+			once(archive.Answer{Result: archive.ResultUnchanged, Object: archive.Object{Era: uint64(fl.Objects.Era())}})
+		}
+	})
 }
 
 // execute executes one call at the store.
@@ -157,7 +168,9 @@
 		found, err = fl.Objects.Get(ca.Name)
 	}
 	an := archive.Answer{ID: ca.ID, Attempt: 1, Result: archive.ResultDone}
-	an.Object = archive.Object{Name: ca.Name, Version: uint64(found.Version), Value: found.Value, StoreTime: fl.Now}
+	an.Object = archive.Object{
+		Name: ca.Name, Version: uint64(found.Version), Era: uint64(fl.Objects.Era()), Value: found.Value, StoreTime: fl.Now,
+	}
 	switch {
 	case errors.Is(err, object.ErrNotFound):
 		an.Result = archive.ResultNotFound
--- a/internal/transport/store/perform.go
+++ b/internal/transport/store/perform.go
@@ -21,6 +21,7 @@
 	an.Object = archive.Object{
 		Name:      ac.Call.Name,
 		Version:   uint64(found.Version),
+		Era:       uint64(found.Era),
 		Value:     found.Value,
 		StoreTime: found.Asked,
 	}
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -161,6 +161,7 @@
 func read(rs *http.Response, name string) (object.Object, error) {
 	found := object.Object{Name: name}
 	found.Asked, _ = http.ParseTime(rs.Header.Get("Date"))
+	found.Era = object.ParseEra(rs.Header)
 	if rs.StatusCode >= http.StatusMultipleChoices {
 		pr := decodeProblem(rs)
 		found.Version = pr.Version
