fix(rollout): a watch doesn't go on from a version of another era

Callers on the own interface would have seen a confirmed change that no instance has in force until the next one, as on the platform: an instance watches the root from the version that it saw last. If the root of the restored store has that version anew, the watch ends as unchanged, for ever.

The version is now kept with its era; an unchanged answer of another era makes the instance read the root. So that this answer comes soon and not after the 30 s of a wait, a watch that is retried after a failure doesn't wait.

--- a/internal/coordination/archive/archive.go
+++ b/internal/coordination/archive/archive.go
@@ -3,10 +3,11 @@
 // limit and a circuit breaker. It does no I/O and reads no clock: every input
 // carries the time, and every output is a list of actions for the caller.
 //
-// A read is retried until its deadline. A write is retried only if it is known to
-// have had no effect. A write without an answer is completed with
-// ResultUnanswered, and the submitter finds out by reading whether it had an
-// effect.
+// A read is retried until its deadline; a watch that is retried doesn't wait for a
+// change, so that the submitter soon learns of the store's present era. A write is
+// retried only if it is known to have had no effect. A write without an answer is
+// completed with ResultUnanswered, and the submitter finds out by reading whether it
+// had an effect.
 //
 // # Usage
 //
@@ -60,7 +61,8 @@
 	// that the object must have in the store for the write to succeed; for a
 	// watch, the version after which to wait for a newer one.
 	Object
-	// Until is when a watch ends if the object does not change.
+	// Until is when a watch ends if the object does not change. It has passed for a
+	// watch that is retried.
 	Until time.Time
 }
 
@@ -317,6 +319,7 @@
 	repeat := an.Result == ResultRefused || an.Result == ResultUnanswered && !ca.Kind.writes()
 	ca.due = now.Add(cl.backoff(ca.attempts))
 	if repeat && ca.due.Before(ca.deadline) {
+		ca.Until = now
 		return nil
 	}
 	return []Action{cl.complete(ca, an)}
--- a/internal/coordination/rollout/fetch.go
+++ b/internal/coordination/rollout/fetch.go
@@ -30,6 +30,10 @@
 	case archive.ResultDone:
 	case archive.ResultUnchanged:
 		re.noteVersion(now, re.state.Version())
+		if an.Object.Era != re.storeEra {
+			// The same version of another era: the root is read again.
+			re.storeVersion = 0
+		}
 		return nil
 	default:
 		re.watchAt = re.jitter(now, WatchRetry)
@@ -40,7 +44,7 @@
 		re.watchAt = re.jitter(now, WatchRetry)
 		return re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})
 	}
-	re.storeVersion = an.Object.Version
+	re.storeVersion, re.storeEra = an.Object.Version, an.Object.Era
 	return re.compareRoot(now, ro)
 }
 
