fix(change): a condition on the root's version holds only in its era

Callers on the own interface would have seen a configuration that nobody can read: a console's write that was on its way while the store was restored met its condition on another root that got the same version, and replaced an accepted change by a root whose shards the restored store doesn't have.

Cause: the store takes conditions on a version only, not on its era.

The root now has a name of its own in each era (root, root@2, ...): a write of an earlier era reaches an object that nobody reads any more. Who reads the root first in a new era copies it from the newest earlier one; creation is conditional on absence, so one copy wins. Versions that are handed out hold the era. A write that was done, as its answer shows, in another era counts as unanswered, so that the change looks for its identity before it is reported.

TestConditionOfAnEarlierEraDoesNotOverwriteAChange fails with the calls made without archive.Eras (shard of version 1.3: object not found), and passes with it. Consoles and instances of former builds read the root of the first era only: after a restore they must be of this build.

--- a/internal/coordination/change/change_test.go
+++ b/internal/coordination/change/change_test.go
@@ -331,12 +331,13 @@
 // stepper runs one state machine call by call, without faults.
 type stepper struct {
 	*simulation
+	eras    *archive.Eras
 	machine stateMachine
 	calls   []archive.Call
 }
 
 func (si *simulation) stepper(sm stateMachine) *stepper {
-	return &stepper{simulation: si, machine: sm, calls: sm.Start(si.now)}
+	return &stepper{simulation: si, eras: archive.NewEras(change.RootName), machine: sm, calls: sm.Start(si.now)}
 }
 
 // until runs calls until the next one matches or none is left.
@@ -348,7 +349,7 @@
 
 func (st *stepper) step() {
 	ca := st.calls[0]
-	an := st.execute(ca)
+	an := st.eras.Perform(ca, st.execute)
 	an.ID = ca.ID
 	st.calls = append(st.calls[1:], st.machine.Handle(st.now, an)...)
 }
@@ -388,3 +389,43 @@
 		t.Fatalf("the store holds %s, not %s", after.Root.Version, inForce.Root.Version)
 	}
 }
+
+// TestConditionOfAnEarlierEraDoesNotOverwriteAChange guards against a change that is
+// lost because a write sent before a restore meets its condition on other content.
+func TestConditionOfAnEarlierEraDoesNotOverwriteAChange(t *testing.T) {
+	si := newSimulation(1, monthEnd)
+	ow := newOwner("glenrug")
+	si.setup(ow)
+	backup := si.objects.Backup()
+	commit := func(number int) (*change.Commit, *stepper) {
+		co := change.NewCommit(change.Request{
+			Owner: ow.name, Sign: ow.sign, Edits: []change.Edit{addServiceEdit(number)}, Deadline: si.now.Add(time.Minute),
+		}, si.random)
+		return co, si.stepper(co)
+	}
+	everything := func(archive.Call) bool { return false }
+	_, lost := commit(1)
+	lost.until(everything)
+	paused, late := commit(2)
+	late.until(func(ca archive.Call) bool { return ca.Kind == archive.KindPut && ca.Name == change.RootName })
+
+	si.objects.Restore(backup)
+	accepted, other := commit(3)
+	other.until(everything)
+	late.until(everything)
+
+	sn, err := si.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, co := range []*change.Commit{accepted, paused} {
+		ou := co.Outcome()
+		base, err := ou.Identity.Base()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if status := sn.Root.StatusOf(ou.Identity, base); ou.Kind != change.OutcomeAccepted || status != change.StatusAccepted {
+			t.Errorf("outcome %s: the store says %v of %s", ou.Kind, status, ou.Identity)
+		}
+	}
+}
--- a/internal/coordination/change/simulation_test.go
+++ b/internal/coordination/change/simulation_test.go
@@ -101,7 +101,7 @@
 
 // call delivers one call to the store and its answer back, with random latency.
 // It may lose either.
-func (si *simulation) call(ac archive.Action, answer func(archive.Answer)) {
+func (si *simulation) call(eras *archive.Eras, ac archive.Action, answer func(archive.Answer)) {
 	latency := func() time.Duration { return time.Duration(1+si.random.IntN(20)) * time.Millisecond }
 	arrival := si.now.Add(latency())
 	if si.chance(si.latePercent) {
@@ -115,7 +115,7 @@
 		if si.down() {
 			return
 		}
-		an := si.execute(ac.Call)
+		an := eras.Perform(ac.Call, si.execute)
 		an.ID, an.Attempt = ac.Call.ID, ac.Attempt
 		if lostAfter {
 			return
@@ -143,7 +143,9 @@
 	default:
 		found, err = si.objects.Get(ca.Name)
 	}
-	an.Object = archive.Object{Name: ca.Name, Version: uint64(found.Version), Value: found.Value, StoreTime: si.now}
+	an.Object = archive.Object{
+		Name: ca.Name, Version: uint64(found.Version), Era: uint64(si.objects.Era()), Value: found.Value, StoreTime: si.now,
+	}
 	switch {
 	case err == nil:
 		an.Result = archive.ResultDone
@@ -169,6 +171,7 @@
 type process struct {
 	*simulation
 	client      *archive.Client
+	eras        *archive.Eras
 	machine     stateMachine
 	deadline    func() time.Time
 	pausedUntil time.Time
@@ -182,6 +185,7 @@
 	pr := &process{
 		simulation:   si,
 		client:       archive.New(archive.DefaultPolicy, si.random),
+		eras:         archive.NewEras(change.RootName),
 		machine:      sm,
 		deadline:     deadline,
 		pausePercent: pausePercent,
@@ -219,7 +223,7 @@
 	for _, ac := range actions {
 		switch ac.Kind {
 		case archive.ActionSend:
-			pr.call(ac, func(an archive.Answer) {
+			pr.call(pr.eras, ac, func(an archive.Answer) {
 				pr.afterPause(func() { pr.act(pr.client.HandleAnswer(pr.now, an)) })
 			})
 		case archive.ActionWake:
@@ -282,11 +286,12 @@
 
 // snapshot reads the root and its shards directly from the store.
 func (si *simulation) snapshot() (*change.Snapshot, error) {
-	found, err := si.objects.Get(change.RootName)
-	if err != nil {
-		return nil, err
+	root := archive.Call{Kind: archive.KindGet, Object: archive.Object{Name: change.RootName}}
+	found := archive.NewEras(change.RootName).Perform(root, si.execute)
+	if found.Result != archive.ResultDone {
+		return nil, errors.New("no root")
 	}
-	ro, err := change.DecodeRoot(found.Value)
+	ro, err := change.DecodeRoot(found.Object.Value)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/store/perform.go
+++ b/internal/transport/store/perform.go
@@ -10,16 +10,25 @@
 	"corneltiller.dev/corneltiller/internal/protocol/object"
 )
 
-// Perform makes one attempt of a call. An attempt that isn't answered before its
-// deadline has the result archive.ResultUnanswered.
+// Perform makes one attempt of a call; a call of the configuration's root may take
+// several calls to the store (see archive.Eras). An attempt that isn't answered before
+// its deadline has the result archive.ResultUnanswered.
 func (cl *Client) Perform(ctx context.Context, ac archive.Action) archive.Answer {
 	ctx, cancel := context.WithDeadline(ctx, ac.Deadline)
 	defer cancel()
-	an := archive.Answer{ID: ac.Call.ID, Attempt: ac.Attempt}
-	found, err := cl.attempt(ctx, ac.Call, &an)
+	cl.once.Do(cl.open)
+	an := cl.eras.Perform(ac.Call, func(ca archive.Call) archive.Answer { return cl.perform(ctx, ca) })
+	an.Attempt = ac.Attempt
+	return an
+}
+
+// perform makes one call to the store.
+func (cl *Client) perform(ctx context.Context, ca archive.Call) archive.Answer {
+	an := archive.Answer{ID: ca.ID}
+	found, err := cl.attempt(ctx, ca, &an)
 	an.Result = resultOf(err)
 	an.Object = archive.Object{
-		Name:      ac.Call.Name,
+		Name:      ca.Name,
 		Version:   uint64(found.Version),
 		Era:       uint64(found.Era),
 		Value:     found.Value,
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -24,6 +24,8 @@
 
 	"github.com/go-faster/errors"
 
+	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/protocol/object"
 )
 
@@ -43,6 +45,7 @@
 
 	once sync.Once
 	http *http.Client
+	eras *archive.Eras
 }
 
 // Get reads one object. The errors of all calls are those of the object package,
@@ -135,7 +138,7 @@
 
 // call sends the request and decodes the answer.
 func (cl *Client) call(rq *http.Request, name string) (object.Object, error) {
-	cl.once.Do(cl.openHTTPClient)
+	cl.once.Do(cl.open)
 	rs, err := cl.http.Do(rq)
 	if err != nil {
 		return object.Object{}, errors.Wrapf(object.ErrUnanswered, "%s %s at store %s: %v", rq.Method, name, cl.Address, err)
@@ -148,7 +151,8 @@
 	return found, nil
 }
 
-func (cl *Client) openHTTPClient() {
+func (cl *Client) open() {
+	cl.eras = archive.NewEras(change.RootName)
 	cl.http = &http.Client{Transport: &http.Transport{
 		TLSClientConfig:   cl.TLS,
 		ForceAttemptHTTP2: cl.TLS != nil,
