fix(carrier): entries are reviewed after a start as well

Callers saw nothing. The balancer that had met the restored store could end before it reviewed the entries 2 s later; the one that follows it knew of no restore, and an entry that was lost stayed missing.

TestEntriesAreReviewedAfterAStartSinceARestoreMayJustHaveBeen failed before (expected 1, actual 0 reviews).

--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -92,14 +92,19 @@
 	klog.InfoS("Store entry rewritten", "failures", bo.failures)
 }
 
-// reviewEntries compares the entries in the store with the view, whenever a member was
-// removed or the store was restored. Only the balancer with the lowest address does
-// so; the others check now and then whether they have become that balancer.
+// reviewEntries compares the entries in the store with the view some time after the
+// start, and whenever a member was removed or the store was restored. Only the balancer
+// with the lowest address does so; the others check now and then whether they have
+// become that balancer.
 func (no *node) reviewEntries(ctx context.Context) error {
+	// The balancer that had to review them may have ended before it did.
+	afterStart := time.NewTimer(reviewInterval)
+	defer afterStart.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-afterStart.C:
 		case <-no.entriesDoubtful:
 		}
 		pause := reviewDelay
--- a/internal/transport/carrier/entries_test.go
+++ b/internal/transport/carrier/entries_test.go
@@ -88,3 +88,21 @@
 		So(no.membersWithoutEntry(nil), ShouldResemble, []netip.AddrPort{silent.Address, present.Address, no.settings.Peers})
 	})
 }
+
+func TestEntriesAreReviewedAfterAStartSinceARestoreMayJustHaveBeen(t *testing.T) {
+	reviews := 0
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		no := openNode(t, Store{ListEntries: func(context.Context) ([]Entry, error) {
+			reviews++
+			return []Entry{{Record: members.Record{Address: netip.MustParseAddrPort("127.0.0.1:0"), Role: members.RoleBalancer}}}, nil
+		}})
+		if err := no.reviewEntries(ctx); err != nil {
+			t.Fatal(err)
+		}
+		Convey("Nothing is missing, so the entries are listed once", t, func() {
+			So(reviews, ShouldEqual, 1)
+		})
+	})
+}
