fix(roster): a host that lost all its watchers is found by probes

Callers saw (own interface): a host that crashed together with the balancers that watched it, or before its first heartbeat, stayed in every view for good, and new flows were still offered to it.

Cause: a host chooses its watchers, and only they suspect it. If they are gone with it, nobody knows that nobody looks. Each balancer now probes a host every 10 s that it doesn't watch, a different one each time by hash: it asks for a heartbeat; a living host answers with the list of its watchers and the probe ends, a silent one is suspected as ever, which asks other balancers to watch it. The rule of the majority stays.

TestHostThatCrashesWithAllItsWatchersIsRemoved failed before (not removed in 5 minutes); it is removed within 5 minutes now.

TestLoneBalancer RemovesNobody holds that rule: one vote of three, the host present.

--- a/internal/coordination/roster/suspicion.go
+++ b/internal/coordination/roster/suspicion.go
@@ -11,6 +11,7 @@
 // Tick suspects silent subjects, and publishes the removal of those that a majority
 // of their watchers suspects and that did not refute in time. It does neither in
 // the first tick after a pause of this process, nor while suspectsLocalFault holds.
+// Now and then it probes a host that this watcher doesn't watch.
 func (wa *Watcher) Tick(now time.Time) []Action {
 	paused := !wa.lastTick.IsZero() && now.Sub(wa.lastTick) > pauseThreshold
 	wa.lastTick = now
@@ -28,7 +29,7 @@
 			acts = wa.suspect(acts, wt, now)
 		}
 	}
-	return acts
+	return wa.probe(acts, now)
 }
 
 // resetAfterPause counts the silence of all subjects anew after a pause of this
--- a/internal/coordination/roster/watcher.go
+++ b/internal/coordination/roster/watcher.go
@@ -90,6 +90,10 @@
 	// localFaultDeadline is when this watcher suspects subjects even if most of
 	// them are silent; zero if fewer are.
 	localFaultDeadline time.Time
+	// nextProbe is when the next probe is due, zero before the first Tick; probes
+	// numbers them.
+	nextProbe time.Time
+	probes    uint64
 }
 
 // NewWatcher returns a watcher with the control address self. It reads the
