refactor: eras of the root without shared state in the core; two lint findings

The linter allows no sync/atomic in coordination: the client hands the era in and takes it back. A loop of the review of entries is written without a negated pair. No change of behaviour.

--- a/internal/coordination/archive/era.go
+++ b/internal/coordination/archive/era.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"strings"
-	"sync/atomic"
 )
 
 // maxEraSteps bounds how often one call is begun anew because the store's era changed
@@ -22,20 +21,23 @@
 // object in a new era copies it from the newest earlier one.
 //
 // The versions that are handed out hold the era, so that versions of different eras
-// differ. All calls of other objects pass unchanged. Eras is safe for concurrent use.
+// differ. All calls of other objects pass unchanged. Eras is not safe for concurrent
+// use.
 type Eras struct {
 	name string
 	// present is the era of the last answer, 1 before the first.
-	present atomic.Uint64
+	present uint64
 }
 
-// NewEras returns the eras of the named object.
-func NewEras(name string) *Eras {
-	er := &Eras{name: name}
-	er.present.Store(1)
-	return er
+// NewEras returns the eras of the named object. The era of the last answer is zero if
+// there was none.
+func NewEras(name string, present uint64) *Eras {
+	return &Eras{name: name, present: max(present, 1)}
 }
 
+// Present returns the era of the last answer, 1 before the first.
+func (er *Eras) Present() uint64 { return er.present }
+
 // Perform makes the call by means of the function do, which makes one call to the
 // store, and returns its answer. A write whose answer shows that it reached the object
 // of an earlier era is answered with ResultUnanswered.
@@ -84,7 +86,7 @@
 	if an.Object.Era == 0 || era == before {
 		return false
 	}
-	er.present.Store(era)
+	er.present = era
 	return true
 }
 
@@ -106,7 +108,7 @@
 }
 
 func (er *Eras) write(ca Call, do func(Call) Answer) Answer {
-	era := er.present.Load()
+	era := er.present
 	if ca.Version != 0 && max(ca.Version>>eraShift, 1) != era {
 		return Answer{ID: ca.ID, Result: ResultConflict, Object: Object{Name: ca.Name}}
 	}
@@ -118,7 +120,7 @@
 }
 
 func (er *Eras) watch(ca Call, do func(Call) Answer) Answer {
-	era := er.present.Load()
+	era := er.present
 	if max(ca.Version>>eraShift, 1) == era {
 		an := do(er.inward(ca, era))
 		if !er.changed(era, an) && an.Result != ResultNotFound {
@@ -131,7 +133,7 @@
 
 func (er *Eras) read(ca Call, do func(Call) Answer) Answer {
 	for range maxEraSteps {
-		era := er.present.Load()
+		era := er.present
 		an := do(er.inward(ca, era))
 		if er.changed(era, an) {
 			continue
--- a/internal/coordination/change/change_test.go
+++ b/internal/coordination/change/change_test.go
@@ -337,7 +337,7 @@
 }
 
 func (si *simulation) stepper(sm stateMachine) *stepper {
-	return &stepper{simulation: si, eras: archive.NewEras(change.RootName), machine: sm, calls: sm.Start(si.now)}
+	return &stepper{simulation: si, eras: archive.NewEras(change.RootName, 0), machine: sm, calls: sm.Start(si.now)}
 }
 
 // until runs calls until the next one matches or none is left.
--- a/internal/coordination/change/simulation_test.go
+++ b/internal/coordination/change/simulation_test.go
@@ -185,7 +185,7 @@
 	pr := &process{
 		simulation:   si,
 		client:       archive.New(archive.DefaultPolicy, si.random),
-		eras:         archive.NewEras(change.RootName),
+		eras:         archive.NewEras(change.RootName, 0),
 		machine:      sm,
 		deadline:     deadline,
 		pausePercent: pausePercent,
@@ -287,7 +287,7 @@
 // snapshot reads the root and its shards directly from the store.
 func (si *simulation) snapshot() (*change.Snapshot, error) {
 	root := archive.Call{Kind: archive.KindGet, Object: archive.Object{Name: change.RootName}}
-	found := archive.NewEras(change.RootName).Perform(root, si.execute)
+	found := archive.NewEras(change.RootName, 0).Perform(root, si.execute)
 	if found.Result != archive.ResultDone {
 		return nil, errors.New("no root")
 	}
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -108,8 +108,11 @@
 		case <-no.entriesDoubtful:
 		}
 		pause := reviewDelay
-		for sleepContext(ctx, pause) && !(no.hasLowestAddress() && no.reviewOnce(ctx)) {
-			pause = reviewInterval
+		for reviewed := false; !reviewed; pause = reviewInterval {
+			if !sleepContext(ctx, pause) {
+				return nil
+			}
+			reviewed = no.hasLowestAddress() && no.reviewOnce(ctx)
 		}
 		if !sleepContext(ctx, reviewInterval) {
 			return nil
--- a/internal/transport/store/perform.go
+++ b/internal/transport/store/perform.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"corneltiller.dev/corneltiller/internal/coordination/archive"
+	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/protocol/object"
 )
 
@@ -16,8 +17,9 @@
 func (cl *Client) Perform(ctx context.Context, ac archive.Action) archive.Answer {
 	ctx, cancel := context.WithDeadline(ctx, ac.Deadline)
 	defer cancel()
-	cl.once.Do(cl.open)
-	an := cl.eras.Perform(ac.Call, func(ca archive.Call) archive.Answer { return cl.perform(ctx, ca) })
+	eras := archive.NewEras(change.RootName, cl.era.Load())
+	an := eras.Perform(ac.Call, func(ca archive.Call) archive.Answer { return cl.perform(ctx, ca) })
+	cl.era.Store(eras.Present())
 	an.Attempt = ac.Attempt
 	return an
 }
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -20,12 +20,11 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"corneltiller.dev/corneltiller/internal/coordination/archive"
-	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/protocol/object"
 )
 
@@ -45,7 +44,8 @@
 
 	once sync.Once
 	http *http.Client
-	eras *archive.Eras
+	// era is the store's era by the last answer about the root, zero before the first.
+	era atomic.Uint64
 }
 
 // Get reads one object. The errors of all calls are those of the object package,
@@ -138,7 +138,7 @@
 
 // call sends the request and decodes the answer.
 func (cl *Client) call(rq *http.Request, name string) (object.Object, error) {
-	cl.once.Do(cl.open)
+	cl.once.Do(cl.openHTTPClient)
 	rs, err := cl.http.Do(rq)
 	if err != nil {
 		return object.Object{}, errors.Wrapf(object.ErrUnanswered, "%s %s at store %s: %v", rq.Method, name, cl.Address, err)
@@ -151,8 +151,7 @@
 	return found, nil
 }
 
-func (cl *Client) open() {
-	cl.eras = archive.NewEras(change.RootName)
+func (cl *Client) openHTTPClient() {
 	cl.http = &http.Client{Transport: &http.Transport{
 		TLSClientConfig:   cl.TLS,
 		ForceAttemptHTTP2: cl.TLS != nil,
