--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -23,58 +23,72 @@
 	watcherCheckInterval = time.Second
 )
 
+// routesWatch is the state of followRoutes: the position to watch from, the history of
+// the last answer, and the failures since then.
+type routesWatch struct {
+	position        Position
+	history         History
+	failed, expired backoff
+}
+
 // followRoutes reads the routes from the store, and then watches it for newer ones
-// while watchesStore reports true. It reads them again if the position to watch from
-// has expired: at once the first time, after a pause if that happens again before a
-// watch has succeeded. After a failure a watch doesn't wait for a change, so that it
-// ends early where the store doesn't answer.
+// while watchesStore reports true. After a failure a watch doesn't wait for a change,
+// so that it ends early where the store doesn't answer.
 func (no *node) followRoutes(ctx context.Context) error {
-	var bo, expired backoff
-	var position Position
-	var history History
+	var rw routesWatch
 	for ctx.Err() == nil {
-		if position.Revision > 0 && !no.watchesStore() {
+		if rw.position.Revision > 0 && !no.watchesStore() {
 			sleepContext(ctx, watcherCheckInterval)
 			continue
 		}
 		began := time.Now()
 		deadline := began
-		if bo.failures == 0 {
+		if rw.failed.failures == 0 {
 			deadline = began.Add(watchTimeout)
 		}
-		next, err := no.fetchRoutes(ctx, position, deadline)
+		next, err := no.fetchRoutes(ctx, rw.position, deadline)
 		switch {
 		case ctx.Err() != nil:
-			return nil
 		case errors.Is(err, ErrRevisionExpired):
-			klog.InfoS("Revision expired in the store; reading the configuration again", "position", position, "reason", err)
-			position = Position{}
-			if expired.failures > 0 && !expired.wait(ctx, began, maxBackoff) {
-				return nil
-			}
-			expired.failures++
+			no.expirePosition(ctx, &rw, began, err)
 		case err != nil:
-			no.reportStoreFailure(err, &bo)
-			if !bo.wait(ctx, began, no.retryPause()) {
-				return nil
-			}
+			no.reportStoreFailure(err, &rw.failed)
+			rw.failed.wait(ctx, began, no.retryPause())
 		default:
-			if bo.failures > 0 {
-				klog.InfoS("Store regained", "failures", bo.failures, "before", position, "now", next)
-			}
-			bo.failures = 0
-			if position.Revision > 0 {
-				expired.failures = 0
-			}
-			if history != next.History && history != (History{}) {
-				signal(no.entriesDoubtful)
-			}
-			position, history = next, next.History
+			no.advancePosition(&rw, next)
 		}
 	}
 	return nil
 }
 
+// expirePosition makes followRoutes read the routes again: at once the first time,
+// after a pause if the position expires again before a watch has succeeded.
+func (no *node) expirePosition(ctx context.Context, rw *routesWatch, began time.Time, reason error) {
+	klog.InfoS("Revision expired in the store; reading the configuration again", "position", rw.position, "reason", reason)
+	rw.position = Position{}
+	if rw.expired.failures > 0 {
+		rw.expired.wait(ctx, began, maxBackoff)
+		return
+	}
+	rw.expired.failures++
+}
+
+// advancePosition takes over the position of an answer. If it belongs to another
+// history than the last, the entries in the store may have changed.
+func (no *node) advancePosition(rw *routesWatch, next Position) {
+	if rw.failed.failures > 0 {
+		klog.InfoS("Store regained", "failures", rw.failed.failures, "before", rw.position, "now", next)
+	}
+	if rw.position.Revision > 0 {
+		rw.expired.failures = 0
+	}
+	if rw.history != next.History && rw.history != (History{}) {
+		signal(no.entriesDoubtful)
+	}
+	rw.failed.failures = 0
+	rw.position, rw.history = next, next.History
+}
+
 // retryPause returns the longest pause before the next attempt. It is short while
 // the process has no configuration, without which it can't serve.
 func (no *node) retryPause() time.Duration {
@@ -125,12 +139,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ro, next, err := no.store.Routes(ctx)
-	if err != nil {
-		return Position{}, err
-	}
-	if ro == nil {
-		return next, nil
+	if err == nil && ro != nil {
+		no.publish(ro)
 	}
-	no.publish(ro)
-	return next, nil
+	return next, err
 }
