--- a/internal/coordination/rollout/replica.go
+++ b/internal/coordination/rollout/replica.go
@@ -52,9 +52,9 @@
 
 	// lastCall is the ID of the last call, counted from one; rootCall is the
 	// ID of the open call for the root, zero for none. storeVersion is the
-	// store's version of the root object last read, in the era storeEra. watchAt is when the next
-	// watch may start, readAt when the root is read unless a version becomes
-	// known before, reads the number of such reads since one became known.
+	// store's version of the root object last read, in the era storeEra. watchAt is
+	// when the next watch may start, readAt when the root is read unless a version
+	// becomes known before, reads the number of such reads since one became known.
 	lastCall     uint64
 	rootCall     uint64
 	storeVersion uint64
