test(fleet): one function crashes a host with its watchers

It stands once now, and wants the host to have all of its watchers before it crashes any, so that a test can't pass with fewer. The assertions of the tests are as they were.

--- a/internal/standin/fleet/failure_test.go
+++ b/internal/standin/fleet/failure_test.go
@@ -249,15 +249,24 @@
 	})
 }
 
+// crashWithWatchers crashes the first host and the given number of its watchers, of
+// which there must be WatcherCount, and returns the host.
+func (fl *Fleet) crashWithWatchers(count int) *Node {
+	crashed := fl.Hosts[0]
+	watchers := crashed.Core.Announcer().Watchers()
+	So(watchers, ShouldHaveLength, roster.WatcherCount)
+	for _, pe := range watchers[:count] {
+		fl.Crash(fl.nodes[pe.Address])
+	}
+	fl.Crash(crashed)
+	return crashed
+}
+
 func TestHostCrashesWithItsWatchers(t *testing.T) {
 	Convey("A host that crashes together with two of its watchers is removed", t, func() {
 		fl := New(Options{Balancers: 9, Hosts: 12, Domains: 9, Seed: 12})
 		fl.Run(2 * time.Second)
-		crashed := fl.Hosts[0]
-		for _, pe := range crashed.Core.Announcer().Watchers()[:2] {
-			fl.Crash(fl.nodes[pe.Address])
-		}
-		fl.Crash(crashed)
+		crashed := fl.crashWithWatchers(2)
 		_, ok := fl.RunUntil(20*time.Second, time.Second, func() bool {
 			return fl.allBalancers(func(nd *Node) bool { return fl.standing(nd, crashed) == roster.StandingRemoved })
 		})
@@ -269,11 +278,7 @@
 	Convey("A host that crashes together with all of its watchers is removed by the others", t, func() {
 		fl := New(Options{Balancers: 9, Hosts: 12, Domains: 9, Seed: 12})
 		fl.Run(2 * time.Second)
-		crashed := fl.Hosts[0]
-		for _, pe := range crashed.Core.Announcer().Watchers() {
-			fl.Crash(fl.nodes[pe.Address])
-		}
-		fl.Crash(crashed)
+		crashed := fl.crashWithWatchers(roster.WatcherCount)
 		_, ok := fl.RunUntil(5*time.Minute, time.Second, func() bool {
 			return fl.allBalancers(func(nd *Node) bool { return fl.standing(nd, crashed) == roster.StandingRemoved })
 		})
@@ -285,11 +290,7 @@
 	Convey("A balancer without a majority of the watchers suspects a silent host and keeps it", t, func() {
 		fl := New(Options{Balancers: 4, Hosts: 1, Domains: 4, Seed: 12})
 		fl.Run(2 * time.Second)
-		crashed := fl.Hosts[0]
-		for _, pe := range crashed.Core.Announcer().Watchers() {
-			fl.Crash(fl.nodes[pe.Address])
-		}
-		fl.Crash(crashed)
+		crashed := fl.crashWithWatchers(roster.WatcherCount)
 		fl.Run(5 * time.Minute)
 		So(fl.allBalancers(func(nd *Node) bool {
 			suspected := slices.ContainsFunc(nd.Core.Suspects(fl.Now), func(su roster.Suspect) bool {
