--- a/review/standin/changedroute.go
+++ b/review/standin/changedroute.go
@@ -82,7 +82,7 @@
 	return fmt.Sprintf("%.3f", at.Sub(rec.started).Seconds())
 }
 
-// keepAsking sends a request on each flow once a second until the time, and returns how
+// keepAsking sends a request on each flow every two seconds until the time, and returns how
 // many were not answered within their time budget.
 func keepAsking(fl *fleet, flows []*clientFlow, size int, until time.Time) int {
 	var mu sync.Mutex
