fix(carriage): flows from the same port are told apart by their sequence numbers

Cause: agents and balancers identified a flow by its two addresses. An agent remembers a flow for up to 60 s, so after the port was used again for a flow at another host, both agents claimed the present flow for sure, and a restarted balancer took the first answer. The host of the former flow answers data of an ended flow with a reset.

Evidence: logs of one broken flow show two lines "Flow claimed ... sure=true" for one search; the answer of the former host arrived first, by 50 µs. Ruled out: loss of datagrams (the numbers are the same without any), the restarts alone (none of the flows from fresh ports was lost).

Fix: a caller's packet whose acknowledged number is further from the host's data than a flow has in flight belongs to another flow; the agent neither claims nor delivers it. The balancer compares the caller's own numbers. A restarted agent knows none: it keeps back a reset that answers a tentatively delivered packet, and declines the flow from then on.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -65,7 +65,8 @@
 	// packets that open no flow.
 	ServiceHash uint32
 	// Acknowledged is the sequence number of the next byte that the caller waits
-	// for. It is set for KindFind, and for KindReset after ReasonHostLost.
+	// for. It is set for KindFind, KindHeld and KindDecline, and for KindReset after
+	// ReasonHostLost.
 	Acknowledged uint32
 	// Possible is set for KindFind if the agent is to answer also if its host only
 	// possibly holds the flow.
--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -43,6 +43,9 @@
 	}
 	for _, ac := range ho.gate.HandleHostPacket(si.now, pk, encode(pk)) {
 		if ac.Kind == KindReturn {
+			if holder := si.holder(pk.Flow); pk.Resets && holder != nil && holder != ho {
+				si.resetsByOtherHost++
+			}
 			si.send(func() { si.callerReceives(pk) })
 			continue
 		}
@@ -65,15 +68,17 @@
 		return
 	}
 	if pk.Opening {
-		if !ok {
+		if !ok || fl.openingSequence != pk.Sequence {
 			if !ho.draining.IsZero() && si.now.Sub(ho.draining) > 3*time.Second {
 				si.openedAfterDrain++
 			}
 			si.nextSequence += simSequenceStep
-			fl = &simFlow{initialSequence: si.nextSequence}
+			fl = &simFlow{
+				initialSequence: si.nextSequence, openingSequence: pk.Sequence, received: pk.Sequence, answered: pk.Sequence,
+			}
 			ho.flows[pk.Flow] = fl
 		}
-		accept := Packet{Flow: pk.Flow, Accepting: true, Sequence: fl.initialSequence}
+		accept := Packet{Flow: pk.Flow, Accepting: true, Sequence: fl.initialSequence, Acknowledged: pk.Sequence + 1}
 		si.after(300*time.Microsecond, func() { si.fromHost(ho, accept) })
 		return
 	}
@@ -95,10 +100,16 @@
 		return
 	}
 	fl.open = true
-	si.noteDelivery(pk.Flow, ho, ho)
+	if near(pk.Sequence, fl.openingSequence) {
+		si.noteDelivery(pk.Flow, ho, ho)
+	} else {
+		si.noteDelivery(pk.Flow, ho, si.holder(pk.Flow))
+	}
 	end := pk.Sequence + uint32(pk.Length)
 	switch {
-	case pk.Length == 0 || fl.finished && end != fl.received:
+	case pk.Length > 0 && fl.finished && end != fl.received:
+		si.after(10*time.Microsecond, func() { si.fromHost(ho, Packet{Flow: pk.Flow, Resets: true}) })
+	case pk.Length == 0:
 	case end > fl.received:
 		fl.received = end
 		ho.waiting = append(ho.waiting, pk.Flow)
@@ -108,10 +119,11 @@
 	}
 }
 
-// holder returns the running host that holds the flow open, nil if none does.
+// holder returns the running host that holds the caller's present flow open, nil if
+// none does.
 func (si *simulation) holder(flow Flow) *simHost {
 	for _, ho := range si.hosts {
-		if fl, ok := ho.flows[flow]; ok && ho.alive && fl.open {
+		if fl, ok := ho.flows[flow]; ok && ho.alive && fl.open && fl.openingSequence == si.callers[flow].openingSequence {
 			return ho
 		}
 	}
@@ -149,15 +161,20 @@
 // open lets a caller open a flow: it sends the opening packet up to three times
 // and gives up after the opening timeout.
 func (si *simulation) open(number int) *simCaller {
-	ca := &simCaller{began: si.now, flow: Flow{
+	return si.openFrom(&simCaller{flow: Flow{
 		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(64 + number>>16), byte(number >> 8), byte(number)}), uint16(1024+number%50000)),
 		Service: simAddress,
-	}}
+	}})
+}
+
+// openFrom lets the caller open its flow.
+func (si *simulation) openFrom(ca *simCaller) *simCaller {
+	ca.began = si.now
 	si.callers[ca.flow] = ca
 	for i, delay := range si.copyTimes {
 		si.after(delay, func() {
 			if !ca.accepted && !ca.done {
-				si.fromCaller(Packet{Flow: ca.flow, Opening: true, Copy: uint32(i)})
+				si.fromCaller(Packet{Flow: ca.flow, Opening: true, Copy: uint32(i), Sequence: ca.openingSequence})
 			}
 		})
 	}
@@ -183,10 +200,22 @@
 	})
 }
 
+// isFormer reports whether a host's packet belongs to the caller's former flow.
+func (ca *simCaller) isFormer(pk Packet) bool {
+	switch {
+	case ca.former == nil || pk.Resets:
+		return false
+	case pk.Accepting:
+		return pk.Acknowledged == ca.former.openingSequence+1
+	default:
+		return ca.former.accepted && near(pk.Sequence, ca.former.number)
+	}
+}
+
 // callerReceives simulates a caller that receives a packet of a host.
 func (si *simulation) callerReceives(pk Packet) {
 	ca := si.callers[pk.Flow]
-	if ca == nil || ca.done {
+	if ca == nil || ca.done || ca.isFormer(pk) {
 		return
 	}
 	if pk.Resets {
@@ -196,7 +225,7 @@
 	if pk.Accepting {
 		if !ca.accepted {
 			ca.accepted = true
-			ca.sent = 1
+			ca.sent = ca.openingSequence + 1
 			ca.number = pk.Sequence + 1
 			si.request(ca, ca.sent, 200*time.Millisecond)
 		}
--- a/internal/coordination/carriage/exchange.go
+++ b/internal/coordination/carriage/exchange.go
@@ -17,6 +17,12 @@
 	end uint32
 }
 
+// near reports whether two sequence numbers of one end's data may belong to the same
+// flow. Each flow between the same addresses begins at numbers of its own.
+func near(a, b uint32) bool {
+	return a-b <= maxStreamGap || b-a <= maxStreamGap
+}
+
 // advance notes a packet and reports whether it carries data beyond what was seen
 // before; a retransmission doesn't.
 func (st *stream) advance(pk Packet) bool {
@@ -36,6 +42,12 @@
 	st.known, st.end = true, number
 }
 
+// contains reports whether a number near the data seen may be one of the stream. This
+// is so for any number while no data was seen.
+func (st *stream) contains(number uint32) bool {
+	return !st.known || near(number, st.end)
+}
+
 // acknowledgedBy reports whether the number acknowledges all data seen.
 func (st *stream) acknowledgedBy(number uint32) bool {
 	return !st.known || int32(st.end-number) <= 0
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -296,7 +296,7 @@
 func (ga *Gate) decline(fp ForwardedPacket, data []byte, re Reason) {
 	ga.actions = append(ga.actions, Action{
 		Kind: KindDecline, To: fp.From, Flow: fp.Flow, Data: data, Reason: re,
-		Opening: fp.Opening, InProgress: float64(ga.inProgress),
+		Opening: fp.Opening, Acknowledged: fp.Acknowledged, InProgress: float64(ga.inProgress),
 	})
 }
 
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -16,6 +16,7 @@
 	hf := &hostFlow{
 		flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue,
 	}
+	hf.exchange.host.start(fp.Acknowledged)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.trackRequest(now, fp.Packet, hf)
 	ga.deliver(fp.Flow, data, false)
@@ -23,6 +24,10 @@
 
 // handleKnownFlow handles a packet of a flow that the agent knows.
 func (ga *Gate) handleKnownFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
+	if hf.stage >= stageOpen && !hf.isOf(fp.Acknowledged) {
+		ga.handleOtherFlow(now, fp, data, hf)
+		return
+	}
 	switch hf.stage {
 	case stagePending:
 		// This host has not accepted the flow: the caller completes a handshake with
@@ -30,7 +35,7 @@
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	case stageAccepted:
-		if !fp.Resets && !acknowledges(fp.Acknowledged, hf.initialSequence) {
+		if !fp.Resets && !hf.isOf(fp.Acknowledged) {
 			ga.decline(fp, data, ReasonNotHeld)
 			return
 		}
@@ -53,6 +58,18 @@
 	ga.deliver(fp.Flow, data, false)
 }
 
+// handleOtherFlow handles a packet of another flow than the known one between the same
+// addresses. The host doesn't hold it beside a flow that it has accepted from this
+// agent process; otherwise it may.
+func (ga *Gate) handleOtherFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
+	if hf.stage == stageOpen {
+		ga.decline(fp, data, ReasonNotHeld)
+		return
+	}
+	ga.endProgress(now, hf)
+	ga.handleUnknownFlow(now, fp, data)
+}
+
 // acknowledges reports whether an acknowledgement number belongs to the
 // acceptance with the given initial sequence number. Before a flow is open the
 // host sends nothing else, so a caller can't acknowledge a later byte; a wider
@@ -65,17 +82,14 @@
 // no action if the host doesn't hold the flow.
 func (ga *Gate) HandleFind(now time.Time, from netip.AddrPort, fr FindRequest) []Action {
 	ga.actions = ga.actions[:0]
-	el, ok := ga.flows.entries[fr.Flow]
-	if !ok {
+	hf := ga.flows.peek(fr.Flow)
+	switch {
+	case hf == nil || hf.stage >= stageTentative && !hf.isOf(fr.Acknowledged):
 		if fr.Possible && ga.mayHold(now, fr.Flow) {
-			ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow})
+			ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged})
 		}
-		return ga.actions
-	}
-	hf := el.Value.(*recentEntry[*hostFlow]).value
-	holds := hf.stage == stageOpen || hf.stage == stageLost || hf.stage == stageAccepted && acknowledges(fr.Acknowledged, hf.initialSequence)
-	if holds {
-		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Sure: true})
+	case hf.isKnownHolder() && hf.isOf(fr.Acknowledged):
+		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged, Sure: true})
 	}
 	return ga.actions
 }
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -15,20 +15,41 @@
 		ga.serveQueue(now)
 		return ga.actions
 	}
+	if ga.isTentativeReset(pk) {
+		ga.handleTentativeReset(now, pk)
+		ga.serveQueue(now)
+		return ga.actions
+	}
 	ga.handleAnswer(now, pk)
 	ga.actions = append(ga.actions, Action{Kind: KindReturn, Flow: pk.Flow, Data: data})
 	ga.serveQueue(now)
 	return ga.actions
 }
 
+// isTentativeReset reports whether the packet resets a flow of which packets were only
+// delivered tentatively. The host had a former flow between the same addresses, which
+// has ended, and the caller's present one may be at another host.
+func (ga *Gate) isTentativeReset(pk Packet) bool {
+	hf := ga.flows.peek(pk.Flow)
+	return pk.Resets && hf != nil && hf.stage == stageTentative
+}
+
+// handleTentativeReset keeps the reset from the caller. Further packets of the flow are
+// declined, so that its balancer searches elsewhere.
+func (ga *Gate) handleTentativeReset(now time.Time, pk Packet) {
+	hf := ga.flows.peek(pk.Flow)
+	ga.endProgress(now, hf)
+	hf.stage = stageNotHeld
+	ga.actions = append(ga.actions, Action{Kind: KindDrop, Flow: pk.Flow, Reason: ReasonNotHeld})
+}
+
 // handleReturned handles a caller's packet that the host returned.
 func (ga *Gate) handleReturned(now time.Time, pk Packet, data []byte) {
-	el, ok := ga.flows.entries[pk.Flow]
-	if !ok {
+	hf := ga.flows.peek(pk.Flow)
+	if hf == nil {
 		ga.actions = append(ga.actions, Action{Kind: KindDrop, Flow: pk.Flow, Reason: ReasonNotHeld})
 		return
 	}
-	hf := el.Value.(*recentEntry[*hostFlow]).value
 	re := ReasonNotHeld
 	if hf.stage == stageOpen {
 		re = ReasonHostLost
@@ -42,8 +63,12 @@
 	if re == ReasonHostLost {
 		hf.stage = stageLost
 	}
+	if !pk.Opening {
+		hf.exchange.host.start(pk.Acknowledged)
+	}
 	ga.actions = append(ga.actions, Action{
 		Kind: KindDecline, To: hf.balancer, Flow: pk.Flow, Data: data, Reason: re, Opening: pk.Opening,
+		Acknowledged: pk.Acknowledged,
 	})
 }
 
@@ -64,6 +89,7 @@
 			return
 		}
 		hf = &hostFlow{flow: pk.Flow, stage: stageOpen}
+		hf.exchange.host.start(pk.Sequence)
 		if pk.Accepting {
 			// The flow is not open yet: its caller may have opened it at another
 			// host meanwhile.
@@ -81,7 +107,8 @@
 		ga.confirm(hf)
 	case hf.stage >= stageTentative && !pk.Resets:
 		hf.stage = stageOpen
-		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: hf.balancer, Flow: pk.Flow, Sure: true})
+		hf.exchange.host.start(pk.Sequence)
+		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: hf.balancer, Flow: pk.Flow, Acknowledged: pk.Sequence, Sure: true})
 	}
 	ga.trackAnswer(now, pk, hf)
 }
--- a/internal/coordination/carriage/hostflow.go
+++ b/internal/coordination/carriage/hostflow.go
@@ -54,3 +54,19 @@
 	// located says, in stageTentative, that the balancer knew the flow to be here.
 	located bool
 }
+
+// isOf reports whether a caller's packet that acknowledges the number may belong to
+// the flow. One that doesn't belongs to another flow between the same addresses: the
+// caller has used its port again, perhaps for a flow at another host.
+func (hf *hostFlow) isOf(acknowledged uint32) bool {
+	if hf.stage == stageAccepted {
+		return acknowledges(acknowledged, hf.initialSequence)
+	}
+	return hf.exchange.host.contains(acknowledged)
+}
+
+// isKnownHolder reports whether the host is known to hold the flow, to have accepted
+// it, or to have lost it.
+func (hf *hostFlow) isKnownHolder() bool {
+	return hf.stage == stageAccepted || hf.stage == stageOpen || hf.stage == stageLost
+}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -163,10 +163,19 @@
 		pl.handleOpening(now, pk, data, tf)
 		return pl.actions
 	}
+	if known && tf.phase != phaseSearching && !tf.isOf(pk) {
+		if tf.opensNow(now) {
+			pl.drop(pk.Flow, ReasonNotFound, false)
+			return pl.actions
+		}
+		pl.forget(tf)
+		known = false
+	}
 	if !known {
 		pl.startSearch(now, pk, data)
 		return pl.actions
 	}
+	tf.number = pk.Sequence
 	switch tf.phase {
 	case phaseSearching:
 		tf.search.buffer(data)
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -35,7 +35,7 @@
 	}
 	tf = &trackedFlow{
 		flow: pk.Flow, phase: phaseOpening, opened: now, service: service,
-		copyNumber: pk.Copy, openingSequence: pk.Sequence,
+		copyNumber: pk.Copy, openingSequence: pk.Sequence, number: pk.Sequence,
 		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, index: -1,
 	}
 	tf.noteCopy(pk.Copy)
--- a/internal/coordination/carriage/recent.go
+++ b/internal/coordination/carriage/recent.go
@@ -36,6 +36,16 @@
 	return en.value, true
 }
 
+// peek returns the value of the flow, the zero value if there is none. It doesn't mark
+// the entry as used.
+func (re *recent[V]) peek(flow Flow) V {
+	if el, ok := re.entries[flow]; ok {
+		return el.Value.(*recentEntry[V]).value
+	}
+	var none V
+	return none
+}
+
 func (re *recent[V]) put(now time.Time, flow Flow, value V) {
 	if el, ok := re.entries[flow]; ok {
 		en := el.Value.(*recentEntry[V])
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -147,7 +147,7 @@
 		pl.drop(pk.Flow, ReasonFull, false)
 		return
 	}
-	tf := &trackedFlow{flow: pk.Flow, opened: now, index: -1}
+	tf := &trackedFlow{flow: pk.Flow, opened: now, number: pk.Sequence, index: -1}
 	pl.flows.put(now, pk.Flow, tf)
 	pl.restartSearch(now, tf, pk, data)
 }
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -88,6 +88,11 @@
 	finds, possibles int
 	// closedByHost counts the kept flows that a draining host has ended.
 	closedByHost int
+	// resetsByOtherHost counts the resets that callers got from other hosts than the
+	// one that held their open flow, brokenFormerly the flows that were broken by
+	// packets at other hosts before their ports were used again.
+	resetsByOtherHost int
+	brokenFormerly    []Flow
 	// kept is the number of kept flows that callers have opened.
 	kept                 int
 	deliveries, refusals int
@@ -130,6 +135,8 @@
 
 // simFlow is a flow at a simulated host.
 type simFlow struct {
+	// openingSequence is the sequence number of the caller's opening packet.
+	openingSequence uint32
 	// initialSequence is the sequence number with which the host accepted the flow.
 	initialSequence uint32
 	open            bool
@@ -145,6 +152,10 @@
 // simCaller is a simulated caller with one flow.
 type simCaller struct {
 	flow Flow
+	// openingSequence is the sequence number of the opening packet.
+	openingSequence uint32
+	// former is the caller that used the port before, nil if none did.
+	former *simCaller
 	// began is when the caller began its present request.
 	began    time.Time
 	accepted bool
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -35,6 +35,8 @@
 	// which all copies share.
 	copyNumber      uint32
 	openingSequence uint32
+	// number is the sequence number of the caller's last packet.
+	number uint32
 	// copies has a bit for each copy of the opening packet that has arrived.
 	copies  uint8
 	service string
@@ -80,10 +82,14 @@
 	return true
 }
 
+// isOf reports whether the caller's packet may belong to the flow. One that doesn't
+// belongs to another flow between the same addresses.
+func (tf *trackedFlow) isOf(pk Packet) bool { return near(pk.Sequence, tf.number) }
+
 // isReopenedBy reports whether the opening packet is that of another flow between the
 // same addresses, and no copy of the packet that opened this one.
 func (tf *trackedFlow) isReopenedBy(now time.Time, pk Packet) bool {
-	if tf.service != "" && pk.Sequence != tf.openingSequence {
+	if tf.service != "" && pk.Sequence != tf.openingSequence || !tf.isOf(pk) {
 		return true
 	}
 	return pk.Copy == 0 && now.Sub(tf.opened) > reopenAge
@@ -95,6 +101,13 @@
 	return tf.phase == phaseOpening || tf.phase == phaseLocated && !tf.established
 }
 
+// opensNow reports whether the flow's opening is so recent, and still without a further
+// packet, that a packet of another flow between the same addresses is a late one of a
+// former flow.
+func (tf *trackedFlow) opensNow(now time.Time) bool {
+	return (tf.isOpening() || tf.phase == phaseParked) && now.Sub(tf.opened) <= reopenAge
+}
+
 func (tf *trackedFlow) due() time.Time { return tf.deadline }
 
 func (tf *trackedFlow) setIndex(index int) { tf.index = index }
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -296,11 +296,11 @@
 		case carriage.KindDecline:
 			ag.metrics.Count("Declined."+ac.Reason.String(), 1)
 			klog.InfoS("Packet declined", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening,
-				"balancer", ac.To, "inProgress", ac.InProgress)
+				"balancer", ac.To, "acknowledged", ac.Acknowledged, "inProgress", ac.InProgress)
 			ag.scratch = waybill.AppendDecline(ag.scratch[:0], ac.Reason, ag.gate.Report(now), ac.Data)
 			ag.send(ac.To, ag.scratch)
 		case carriage.KindHeld:
-			klog.InfoS("Flow claimed", "flow", ac.Flow, "balancer", ac.To, "sure", ac.Sure)
+			klog.InfoS("Flow claimed", "flow", ac.Flow, "balancer", ac.To, "sure", ac.Sure, "acknowledged", ac.Acknowledged)
 			ag.scratch = waybill.AppendHeld(ag.scratch[:0], ac.Flow, ac.Sure)
 			ag.send(ac.To, ag.scratch)
 		case carriage.KindDrop:
