fix(carrier): balancers confirm that others read the store

Cause: watchesStore counted the balancers of the domain in the view with a lower address. A view holds members that are lost for 15 s at least, and those that only the store turns away for good, so that nobody read the store.

Fix: a balancer that doesn't watch asks one that may, when the last answer is 1.85 s old, at what time the store last had no newer configuration than its own. Without a recent time it reads the store itself after 2 to 2.3 s, by its place in the domain, so a change is in force within 2.4 s of its acknowledgement whoever is lost (bound: 3 s). The messages are kinds of their own, which a former build refuses and thus leaves the new one to read the store.

Ruled out: removing silent members sooner (says nothing about the store's refusals, and cuts of some seconds are ordinary); a watch for each balancer (3,700 reads a second at the target, the store takes 2,000).

--- a/internal/coordination/members/doc.go
+++ b/internal/coordination/members/doc.go
@@ -14,6 +14,11 @@
 // 15 s and left at least 4 greetings unanswered is removed; it is added again as
 // soon as it sends a greeting.
 //
+// A few balancers of each failure domain watch the store for a newer configuration.
+// The others ask them every few seconds when the store last had none. A balancer that
+// gets no recent answer watches the store itself: it can't tell whether the others have
+// failed, are cut off, or are turned away by the store.
+//
 // A balancer's view holds all other processes, an agent's view only balancers.
 //
 // # Usage
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -118,6 +118,12 @@
 	KindRegister
 	// KindRemoved reports that the member To did not answer and was removed.
 	KindRemoved
+	// KindAskConfirmation asks the balancer To when the store was last known to have no
+	// newer configuration than Version, which the sender has, or than its own.
+	KindAskConfirmation
+	// KindConfirmation answers the process at To: at the time Since the store had no
+	// newer configuration than Version.
+	KindConfirmation
 )
 
 // Action is one step that a View asks its caller to perform.
@@ -128,6 +134,7 @@
 	Data    []byte
 	Version uint64
 	Record  Record
-	// Since is when the removed member was last heard from, zero if it never was.
+	// Since is when the removed member was last heard from, or when the configuration
+	// was last confirmed. It is zero if neither ever was.
 	Since time.Time
 }
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -71,6 +71,7 @@
 	removed map[netip.AddrPort]removal
 	seeds   []netip.AddrPort
 	configuration
+	confirmation
 	joined    bool
 	nextGreet time.Time
 	repeatAt  time.Time
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -50,6 +50,11 @@
 	KindReport
 	// KindMember carries a message of package members in CBOR.
 	KindMember
+	// KindAskConfirmation asks a balancer when the store last had no newer
+	// configuration.
+	KindAskConfirmation
+	// KindConfirmation answers KindAskConfirmation.
+	KindConfirmation
 )
 
 // ErrMalformed means that a message is too short or has an unknown value.
--- a/internal/protocol/waybill/waybill_test.go
+++ b/internal/protocol/waybill/waybill_test.go
@@ -50,6 +50,15 @@
 			So(fr, ShouldResemble, want)
 		}
 
+		version, err := DecodeAskConfirmation(AppendAskConfirmation(nil, 1<<40))
+		So(err, ShouldBeNil)
+		So(version, ShouldEqual, uint64(1<<40))
+
+		version, ago, err := DecodeConfirmation(AppendConfirmation(nil, 1<<40, 1850*time.Millisecond))
+		So(err, ShouldBeNil)
+		So(version, ShouldEqual, uint64(1<<40))
+		So(ago, ShouldEqual, 1850*time.Millisecond)
+
 		flow, certain, err := DecodeHeld(AppendHeld(nil, sampleFlow, true))
 		So(err, ShouldBeNil)
 		So(flow, ShouldResemble, sampleFlow)
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -7,28 +7,16 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
-	"corneltiller.dev/corneltiller/internal/coordination/members"
-)
-
-const (
-	// watchTimeout bounds the wait of one watch. A watch that receives nothing must
-	// end well before the time by which a configuration has to be in force
-	// everywhere.
-	watchTimeout = 1800 * time.Millisecond
-	// watchersPerDomain is the number of balancers of a failure domain that watch
-	// the store. The others receive the configuration from them.
-	watchersPerDomain = 2
-	// watcherCheckInterval is the time after which a balancer that doesn't watch the
-	// store checks again whether it has to.
-	watcherCheckInterval = time.Second
+	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
 // routesWatch is the state of followRoutes: the position to watch from, the history of
-// the last answer, and the failures since then.
+// the last answer, the failures since then, and whether the store is watched.
 type routesWatch struct {
 	position        Position
 	history         History
 	failed, expired backoff
+	watching        bool
 }
 
 // followRoutes reads the routes from the store, and then watches it for newer ones
@@ -37,16 +25,12 @@
 func (no *node) followRoutes(ctx context.Context) error {
 	var rw routesWatch
 	for ctx.Err() == nil {
-		if rw.position.Revision > 0 && !no.watchesStore() {
-			sleepContext(ctx, watcherCheckInterval)
+		if watches, next := no.checkWatch(&rw); !watches && rw.position.Revision > 0 {
+			sleepContext(ctx, time.Until(next))
 			continue
 		}
 		began := time.Now()
-		deadline := began
-		if rw.failed.failures == 0 {
-			deadline = began.Add(watchTimeout)
-		}
-		next, err := no.fetchRoutes(ctx, rw.position, deadline)
+		next, err := no.fetchRoutes(ctx, rw.position, no.watchDeadline(&rw, began))
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrRevisionExpired):
@@ -61,6 +45,16 @@
 	return nil
 }
 
+// watchDeadline returns until when a watch that begins now is to wait for a change.
+func (no *node) watchDeadline(rw *routesWatch, now time.Time) time.Time {
+	if rw.failed.failures > 0 {
+		return now
+	}
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.view.WatchDeadline(now)
+}
+
 // expirePosition makes followRoutes read the routes again: at once the first time,
 // after a pause if the position expires again before a watch has succeeded.
 func (no *node) expirePosition(ctx context.Context, rw *routesWatch, began time.Time, reason error) {
@@ -108,39 +102,55 @@
 	}
 }
 
-// watchesStore reports whether fewer than watchersPerDomain balancers of the same
-// failure domain that take new work have a lower address. While some views
-// lack such a balancer, more balancers watch, which only costs additional calls to
-// the store. While views still hold one that failed, fewer watch.
-func (no *node) watchesStore() bool {
+// checkWatch reports whether the balancer is to watch the store now, and when it is to
+// check again otherwise. Then other balancers watch, and one of them is asked for a
+// confirmation of the configuration if the last one is old.
+func (no *node) checkWatch(rw *routesWatch) (watches bool, next time.Time) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	before := 0
-	for _, re := range no.view.Records() {
-		sameDomain := re.Role == members.RoleBalancer && re.Domain == no.settings.Domain
-		if sameDomain && re.State.TakesNewWork() && re.Address.Compare(no.settings.Peers) < 0 {
-			before++
-		}
+	now := time.Now()
+	no.performMemberActions(now, no.view.AskConfirmation(now))
+	watches = no.view.WatchesStore(now)
+	if watches != rw.watching {
+		klog.InfoS("Store watch decided", "watches", watches, "before", rw.watching,
+			"confirmed", reportAge(now, no.view.Confirmed()), "version", no.view.Version())
 	}
-	return before < watchersPerDomain
+	rw.watching = watches
+	return watches, no.view.NextQuestion()
 }
 
 // fetchRoutes reads the routes if nothing was read before the position, and otherwise
 // waits for newer ones until the deadline. Routes that it receives are published. It
 // returns the position to watch from.
 func (no *node) fetchRoutes(ctx context.Context, position Position, deadline time.Time) (Position, error) {
+	var ro *catalog.Routes
+	var next Position
+	var err error
 	if position.Revision > 0 {
-		ro, next, err := no.store.Watch(ctx, position, deadline)
-		if err == nil && ro != nil {
-			no.publish(ro)
-		}
+		ro, next, err = no.store.Watch(ctx, position, deadline)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		ro, next, err = no.store.Routes(ctx)
+	}
+	if err != nil {
 		return next, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	ro, next, err := no.store.Routes(ctx)
-	if err == nil && ro != nil {
+	if ro != nil {
 		no.publish(ro)
 	}
-	return next, err
+	no.confirm(deadline)
+	return next, nil
+}
+
+// confirm notes that the store has answered a watch with the deadline: it has no newer
+// configuration now, or had none at the deadline if the answer took longer.
+func (no *node) confirm(deadline time.Time) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	at := time.Now()
+	if deadline.Before(at) {
+		at = deadline
+	}
+	no.view.Confirm(at)
 }
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -184,19 +184,32 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	now := time.Now()
-	if waybill.KindOf(datagram) != waybill.KindMember {
+	defer no.schedule(now)
+	var err error
+	switch waybill.KindOf(datagram) {
+	case waybill.KindMember:
+		var msg members.Message
+		if msg, err = members.Decode(datagram[1:]); err == nil {
+			no.performMemberActions(now, no.view.Handle(now, from, msg))
+			no.onMemberHeard(now, from)
+		}
+	case waybill.KindAskConfirmation:
+		var version uint64
+		if version, err = waybill.DecodeAskConfirmation(datagram); err == nil {
+			no.performMemberActions(now, no.view.HandleAskConfirmation(from, version))
+		}
+	case waybill.KindConfirmation:
+		var version uint64
+		var ago time.Duration
+		if version, ago, err = waybill.DecodeConfirmation(datagram); err == nil {
+			no.performMemberActions(now, no.view.HandleConfirmation(from, version, now.Add(-ago)))
+		}
+	default:
 		no.onFlowMessage(now, from, datagram)
-		no.schedule(now)
-		return
 	}
-	msg, err := members.Decode(datagram[1:])
 	if err != nil {
 		no.refuseMessage(from, err)
-		return
 	}
-	no.performMemberActions(now, no.view.Handle(now, from, msg))
-	no.onMemberHeard(now, from)
-	no.schedule(now)
 }
 
 // refuseMessage counts and logs a message that can't be decoded.
@@ -221,6 +234,11 @@
 			no.handleRoutes(now, ac.Data, ac.Version)
 		case members.KindRegister:
 			signal(no.entryMissing)
+		case members.KindAskConfirmation:
+			no.metrics.Count("ConfirmationsAsked", 1)
+			no.send(ac.To, waybill.AppendAskConfirmation(nil, ac.Version))
+		case members.KindConfirmation:
+			no.send(ac.To, waybill.AppendConfirmation(nil, ac.Version, now.Sub(ac.Since)))
 		case members.KindRemoved:
 			klog.InfoS("Member removed", "member", ac.To, "silent", now.Sub(ac.Since).Round(time.Millisecond))
 			removed = append(removed, ac.To)
