fix(carriage): only the host's own check-ins and word end its flows

Cause: the agent compared neither service nor address of a check-in with its settings; a later start under any name made all open flows lost at once; a check-in with an earlier start than the last one was refused for good.

Fix: a check-in counts only with all fields that a host sends, the service and the address of the agent's settings. Flows are lost when the host returns their packets, which it does for each flow that it doesn't hold. A host that goes on checking in while the one with the later start is silent for three heartbeats is taken.

--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -1,13 +1,29 @@
 package carriage
 
-import "time"
+import (
+	"time"
 
-// CheckIn handles a host's check-in, which also ends an ejection. It reports
-// whether the check-in is newer than the last one; one that isn't changes nothing.
-func (ga *Gate) CheckIn(now time.Time, ci CheckIn) ([]Action, bool) {
+	"github.com/go-faster/errors"
+)
+
+var (
+	// ErrOtherHost means that a check-in names another service or address than those of
+	// the agent's host.
+	ErrOtherHost = errors.New("check-in of another host")
+	// ErrOldCheckIn means that a check-in is older than the last one.
+	ErrOldCheckIn = errors.New("check-in older than the last one")
+)
+
+// CheckIn handles a host's check-in, which also ends an ejection. It returns
+// ErrOtherHost or ErrOldCheckIn for a check-in that changes nothing.
+func (ga *Gate) CheckIn(now time.Time, ci CheckIn) ([]Action, error) {
 	ga.actions = ga.actions[:0]
-	if ga.known && !ga.presumed && !ga.supersedes(ci) {
-		return ga.actions, false
+	if ci.Service != ga.service || ci.Address != ga.hostAddress {
+		return ga.actions, ErrOtherHost
+	}
+	if ga.known && !ga.presumed && !ga.supersedes(ci) && !ga.outlives(now, ci) {
+		ga.refused, ga.refusedAt = ci, now
+		return ga.actions, ErrOldCheckIn
 	}
 	if ga.known && !ga.presumed && !ci.StartedAt.Equal(ga.host.StartedAt) {
 		ga.hostRestarted(now)
@@ -25,10 +41,11 @@
 	ga.presumed = false
 	ga.gone = false
 	ga.host = ci
+	ga.checkedIn = now
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
 	ga.serveQueue(now)
-	return ga.actions, true
+	return ga.actions, nil
 }
 
 const (
@@ -53,17 +70,17 @@
 // in.
 const presumedSlots = 2
 
-// PresumeHealthy handles a health check that found the host of the service healthy
-// and not draining. Until the host checks in it is presumed to be ready, so that
+// PresumeHealthy handles a health check that found the host healthy and not draining.
+// Until the host checks in it is presumed to be ready, so that
 // an agent that was restarted can serve at once.
-func (ga *Gate) PresumeHealthy(now time.Time, service string) []Action {
+func (ga *Gate) PresumeHealthy(now time.Time) []Action {
 	ga.actions = ga.actions[:0]
 	if ga.known || ga.gone {
 		return ga.actions
 	}
 	ga.known = true
 	ga.presumed = true
-	ga.host = CheckIn{Service: service, Slots: presumedSlots}
+	ga.host = CheckIn{Service: ga.service, Slots: presumedSlots}
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
 	return ga.actions
@@ -79,8 +96,19 @@
 	return ci.Name == ga.host.Name && ci.Sequence > ga.host.Sequence
 }
 
-// hostRestarted marks the open flows of the host's previous start as lost, and
-// forgets the others and the average service time.
+// outlives reports whether the check-in is one of a host that goes on checking in while
+// the one that checked in last, which started later by its own word, is silent. Then a
+// clock was set back, or the last check-in was not the host's. Late check-ins of a
+// former start arrive together and don't count.
+func (ga *Gate) outlives(now time.Time, ci CheckIn) bool {
+	last := ga.refused
+	repeated := ci.Name == last.Name && ci.StartedAt.Equal(last.StartedAt) && ci.Sequence > last.Sequence
+	return repeated && now.Sub(ga.refusedAt) >= ga.heartbeat/2 && now.Sub(ga.checkedIn) >= maxMissedCheckIns*ga.heartbeat
+}
+
+// hostRestarted forgets the flows that the host's previous start had not accepted, and
+// the average service time. The others are kept without a request in progress: the host
+// returns their next packets if it doesn't hold them, and only its word ends a flow.
 func (ga *Gate) hostRestarted(now time.Time) {
 	ga.hostOlder = false
 	ga.handshakes = nil
@@ -89,9 +117,8 @@
 	for el := ga.flows.order.Front(); el != nil; {
 		next := el.Next()
 		hf := el.Value.(*recentEntry[*hostFlow]).value
-		if hf.stage == stageOpen {
+		if hf.stage == stageAccepted || hf.stage == stageOpen {
 			ga.endProgress(now, hf)
-			hf.stage = stageLost
 		} else {
 			ga.forget(now, hf)
 		}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -50,6 +50,8 @@
 	// Sequence grows with each check-in after one start of the host.
 	Sequence uint64
 	Service  string
+	// Address is where the host receives packets.
+	Address netip.AddrPort
 	// Draining says that the host is to get no new flows and will stop.
 	Draining bool
 	// Slots is the number of requests that the host works on at once.
@@ -65,11 +67,19 @@
 	started   time.Time
 	heartbeat time.Duration
 	lifetime  time.Duration
-	routes    *catalog.Routes
+	// service and hostAddress are those of the agent's host.
+	service     string
+	hostAddress netip.AddrPort
+	routes      *catalog.Routes
 	// host is the last check-in; known says that there is one or that the host is
 	// presumed to be healthy.
 	host  CheckIn
 	known bool
+	// checkedIn is when the host checked in last; refused is the last check-in that was
+	// refused as older, at refusedAt.
+	checkedIn time.Time
+	refused   CheckIn
+	refusedAt time.Time
 	// presumed says that the host passed a health check but has not checked in.
 	presumed bool
 	// gone says that the host has checked out, agentDraining that the agent shuts
@@ -116,6 +126,10 @@
 
 // GateSettings are the settings of a Gate.
 type GateSettings struct {
+	// Service is the service of the agent's host, HostAddress where the host receives
+	// packets.
+	Service     string
+	HostAddress netip.AddrPort
 	// HeartbeatInterval is the time between two check-ins of a host.
 	HeartbeatInterval time.Duration
 	// FlowLifetime is the longest time that a flow may last.
@@ -132,6 +146,7 @@
 func NewGate(now time.Time, st GateSettings) *Gate {
 	return &Gate{
 		started: now, heartbeat: st.HeartbeatInterval, lifetime: st.FlowLifetime,
+		service: st.Service, hostAddress: st.HostAddress,
 		hostOlder: !st.FirstStart, flows: newRecent[*hostFlow](), queue: newQueue(st.OpeningTimeout), nextTick: now,
 	}
 }
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -70,6 +70,8 @@
 	no.firstStart = co.Settings.FirstStart
 	ag := &Agent{node: no, config: co, hostConn: hostConn, routesReceived: make(chan struct{}, 1)}
 	ag.gate = carriage.NewGate(no.started, carriage.GateSettings{
+		Service:           co.Settings.Service,
+		HostAddress:       co.Settings.Backend,
 		HeartbeatInterval: time.Duration(co.Settings.HeartbeatInterval),
 		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
 		OpeningTimeout:    co.OpeningTimeout,
@@ -144,7 +146,7 @@
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	now := time.Now()
-	ag.performFlowActions(now, ag.gate.PresumeHealthy(now, service))
+	ag.performFlowActions(now, ag.gate.PresumeHealthy(now))
 	ag.schedule(now)
 	return nil
 }
@@ -178,22 +180,22 @@
 	return !ag.draining && ag.gate.Report(time.Now()).State.TakesNewWork()
 }
 
-// CheckIn handles a check-in of the host. It reports whether the check-in is newer
-// than the last one; one that isn't changes nothing.
-func (ag *Agent) CheckIn(now time.Time, ci carriage.CheckIn) bool {
+// CheckIn handles a check-in of the host. It returns carriage.ErrOtherHost or
+// carriage.ErrOldCheckIn for one that changes nothing.
+func (ag *Agent) CheckIn(now time.Time, ci carriage.CheckIn) error {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	before := ag.gate.Report(now).State
-	list, current := ag.gate.CheckIn(now, ci)
+	list, err := ag.gate.CheckIn(now, ci)
 	ag.metrics.Count("CheckIns", 1)
 	state := ag.gate.Report(now).State
-	if !current || state != before {
-		klog.InfoS("Check-in", "host", ci.Name, "sequence", ci.Sequence, "draining", ci.Draining,
-			"current", current, "before", before, "state", state)
+	if err != nil || state != before {
+		klog.InfoS("Check-in", "host", ci.Name, "started", ci.StartedAt, "sequence", ci.Sequence, "service", ci.Service,
+			"address", ci.Address, "draining", ci.Draining, "before", before, "state", state, "err", err)
 	}
 	ag.performFlowActions(now, list)
 	ag.schedule(now)
-	return current
+	return err
 }
 
 // CheckOut handles the message of the host that it stops. It changes nothing if a
