fix(members): confirmations are asked from those who answer

The case "a few others take their place" of TestConfirmations was red in: 688 reads of 100 balancers in 18 s without their two watchers, 60 allowed.

Cause: questions went on from the balancer that had answered last to those behind it, which don't read the store, and never back to the reserves that do; and a reserve slept past the time at which it was to read. Now they go in turn to the first two that owe no answer, and the next check is at the reserve's time.

--- a/internal/coordination/members/confirmation.go
+++ b/internal/coordination/members/confirmation.go
@@ -18,9 +18,10 @@
 	// watch the store asks the others for a later one. A balancer that watches has one
 	// after each watch.
 	askAfter = WatchTimeout + 50*time.Millisecond
-	// askInterval is the time between two questions, which go to one balancer after
-	// the other.
-	askInterval = 100 * time.Millisecond
+	// askInterval is the time between two questions. They go in turn to the first
+	// askedBalancers of those that have answered the last one.
+	askInterval    = 100 * time.Millisecond
+	askedBalancers = 2
 	// maxUnconfirmed is the age of the last confirmation from which the first of the
 	// balancers that don't always watch the store does so. Each next one waits
 	// reserveInterval longer, maxReserveDelay at most, so that the first can answer it.
@@ -35,9 +36,8 @@
 	// confirmed is the latest time at which the store is known to have had no newer
 	// configuration than the view's, zero if none is.
 	confirmed time.Time
-	// confirmer is the balancer that is asked next, the one that answered last or one
-	// after it; nextAsk is when it may be asked.
-	confirmer netip.AddrPort
+	// questions is the number of questions asked; nextAsk is when the next one may be.
+	questions int
 	nextAsk   time.Time
 }
 
@@ -55,13 +55,26 @@
 // WatchesStore reports whether a balancer is to watch the store: it is one of the first
 // watchersPerDomain of its failure domain, by address, or nobody has confirmed its
 // configuration for so long that those may have failed, or may not reach the store.
-func (vi *View) WatchesStore(now time.Time) bool {
+func (vi *View) WatchesStore(now time.Time) bool { return !now.Before(vi.watchDue()) }
+
+// watchDue returns from when a balancer is to watch the store, the zero time if always.
+func (vi *View) watchDue() time.Time {
 	reserve := vi.watchRank() - watchersPerDomain
 	if reserve < 0 {
-		return true
+		return time.Time{}
 	}
 	delay := min(time.Duration(reserve)*reserveInterval, maxReserveDelay)
-	return now.Sub(vi.confirmed) >= maxUnconfirmed+delay
+	return vi.confirmed.Add(maxUnconfirmed + delay)
+}
+
+// NextWatchCheck returns when a balancer that doesn't watch the store is to call
+// AskConfirmation and WatchesStore again.
+func (vi *View) NextWatchCheck() time.Time {
+	next := vi.nextQuestion()
+	if due := vi.watchDue(); due.Before(next) {
+		return due
+	}
+	return next
 }
 
 // WatchDeadline returns until when a watch of the store that begins now is to wait for
@@ -90,23 +103,39 @@
 // one is older than askAfter. It does nothing within askInterval of the last question.
 func (vi *View) AskConfirmation(now time.Time) []Action {
 	vi.actions = vi.actions[:0]
-	if now.Before(vi.NextQuestion()) {
+	if now.Before(vi.nextQuestion()) {
 		return vi.actions
 	}
 	vi.nextAsk = now.Add(askInterval)
-	candidates := vi.confirmers()
-	if len(candidates) == 0 {
-		return vi.actions
+	if to := vi.confirmerToAsk(); to.IsValid() {
+		vi.questions++
+		vi.members[to].questioned = true
+		vi.actions = append(vi.actions, Action{Kind: KindAskConfirmation, To: to, Version: vi.version})
 	}
-	at, _ := slices.BinarySearchFunc(candidates, vi.confirmer, netip.AddrPort.Compare)
-	to := candidates[at%len(candidates)]
-	vi.confirmer = candidates[(at+1)%len(candidates)]
-	vi.actions = append(vi.actions, Action{Kind: KindAskConfirmation, To: to, Version: vi.version})
 	return vi.actions
 }
 
-// NextQuestion returns when AskConfirmation may ask next.
-func (co *confirmation) NextQuestion() time.Time {
+// confirmerToAsk returns the balancer to ask: in turn one of the first askedBalancers
+// that owe no answer, or of all if each does. It is invalid if there is none.
+func (vi *View) confirmerToAsk() netip.AddrPort {
+	all := vi.confirmers()
+	if len(all) == 0 {
+		return netip.AddrPort{}
+	}
+	answering := make([]netip.AddrPort, 0, askedBalancers)
+	for _, address := range all {
+		if !vi.members[address].questioned && len(answering) < askedBalancers {
+			answering = append(answering, address)
+		}
+	}
+	if len(answering) == 0 {
+		answering = all
+	}
+	return answering[vi.questions%len(answering)]
+}
+
+// nextQuestion returns when AskConfirmation may ask next.
+func (co *confirmation) nextQuestion() time.Time {
 	due := co.confirmed.Add(askAfter)
 	if due.Before(co.nextAsk) {
 		return co.nextAsk
@@ -145,12 +174,12 @@
 // configuration than the given version at the time. It counts unless the view's own
 // configuration is older than that.
 func (vi *View) HandleConfirmation(from netip.AddrPort, version uint64, at time.Time) []Action {
+	if me, ok := vi.members[from]; ok {
+		me.questioned = false
+	}
 	if version > vi.version {
 		return vi.HandleVersion(from, version)
 	}
-	if at.After(vi.confirmed) {
-		vi.confirmer = from
-		vi.confirmed = at
-	}
+	vi.Confirm(at)
 	return nil
 }
--- a/internal/coordination/members/confirmation_test.go
+++ b/internal/coordination/members/confirmation_test.go
@@ -111,7 +111,7 @@
 	}
 	wf.deliver(wb, wb.AskConfirmation(wf.now))
 	if !wb.WatchesStore(wf.now) {
-		wb.next = wb.NextQuestion()
+		wb.next = wb.NextWatchCheck()
 		return
 	}
 	wf.reads++
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -53,6 +53,8 @@
 	unanswered int
 	// version is the highest version of a configuration that it is known to have.
 	version uint64
+	// questioned says that it was asked for a confirmation and hasn't been heard since.
+	questioned bool
 }
 
 // removal is the last known revision of a removed member's record.
@@ -366,6 +368,7 @@
 	}
 	me.heard = now
 	me.unanswered = 0
+	me.questioned = false
 	me.version = max(me.version, gr.Version)
 	vi.joined = true
 	if gr.EntryMissing {
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -116,7 +116,7 @@
 			"confirmed", reportAge(now, no.view.Confirmed()), "version", no.view.Version())
 	}
 	rw.watching = watches
-	return watches, no.view.NextQuestion()
+	return watches, no.view.NextWatchCheck()
 }
 
 // fetchRoutes reads the routes if nothing was read before the position, and otherwise
