fix(carrier): flows are found at the services that their address had before

What callers saw: a route was given to another service, then the agents were stopped in turn.

Cause: where a flow may be was read off the routes in force, which say where new flows go. A restarted agent declined flows of an address that other services have now, also from balancers that knew them there, and searches asked the present services only. Nothing kept the former ones.

Fix: the routes in force keep an address's former services with weight zero for the lifetime of a flow. Searches and agents that restarted take them into account, Pick passes over them. They travel with the routes between processes; one that joins gets them also when it has read the same version from the store. Agents take the word of a balancer that knew a flow at their host. The format is the former one, which has weights of zero.

Balancers have the setting FlowLifetime now, as agents do.

--- /dev/null
+++ b/internal/coordination/carriage/changedroute_test.go
@@ -0,0 +1,113 @@
+package carriage
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+)
+
+// simOtherService is the service that a route is given to.
+const simOtherService = "ledgerwash"
+
+// newChangedRouteSimulation returns a simulation of three balancers and six hosts, of
+// which the last three serve simOtherService.
+func newChangedRouteSimulation(seed uint64) *simulation {
+	si := newSimulation(seed, 3, 6)
+	for i, ho := range si.hosts {
+		if i >= 3 {
+			ho.service = simOtherService
+			si.startAgent(i)
+			ho.gate.hostOlder = false
+		}
+	}
+	for i := range si.balancers {
+		si.rotation = without(si.rotation, i)
+		si.startBalancer(i)
+	}
+	return si
+}
+
+// changeRoute gives the route of simAddress to the service. All processes learn of it at
+// once, and those that start later from their peers.
+func (si *simulation) changeRoute(service string, weight uint32) {
+	next := &catalog.Routes{Version: si.routes.Version + 1, Addresses: map[netip.AddrPort]catalog.Route{
+		simAddress: {Services: catalog.WeightedServices{{Service: service, Weight: weight}}, LatencyTarget: 100 * time.Millisecond},
+	}}
+	si.routes = si.former.Succeed(si.now, si.routes, next)
+	for _, ho := range si.hosts {
+		ho.gate.SetRoutes(si.routes)
+	}
+	for _, ba := range si.balancers {
+		si.performBalancer(ba, ba.placer.SetRoutes(si.now, si.routes))
+	}
+}
+
+// Flows stayed at hosts of their route's former service and were not found there by
+// balancers and agents that restarted after the change.
+func TestOpenFlowsAfterTheirRouteChangesItsService(t *testing.T) {
+	type disruption struct {
+		name string
+		play func(si *simulation)
+	}
+	cases := []disruption{
+		{"the agents restart in turn", func(si *simulation) {
+			si.restartAgents(5*time.Second, 700*time.Millisecond)
+		}},
+		{"the balancers restart in turn", func(si *simulation) {
+			si.restartBalancers(5*time.Second, 1200*time.Millisecond)
+		}},
+		{"the agents restart in turn, and then the balancers", func(si *simulation) {
+			si.restartAgents(4500*time.Millisecond, 600*time.Millisecond)
+			si.restartBalancers(8500*time.Millisecond, 1200*time.Millisecond)
+		}},
+		{"the balancers restart in turn, and then the agents", func(si *simulation) {
+			si.restartBalancers(4500*time.Millisecond, time.Second)
+			si.restartAgents(8*time.Second, 600*time.Millisecond)
+		}},
+		{"agents and balancers restart at the same time", func(si *simulation) {
+			si.restartAgents(5*time.Second, 600*time.Millisecond)
+			si.restartBalancers(5*time.Second, 1200*time.Millisecond)
+		}},
+		{"the agents restart before the change, the balancers after it", func(si *simulation) {
+			si.restartAgents(1500*time.Millisecond, 300*time.Millisecond)
+			si.restartBalancers(5*time.Second, 1200*time.Millisecond)
+		}},
+	}
+	for i, it := range cases {
+		Convey("Open flows go on at the former service's hosts while "+it.name, t, func() {
+			si := newChangedRouteSimulation(40 + uint64(i))
+			si.keepAll(60, began.Add(14*time.Second), time.Second)
+			si.after(4*time.Second, func() { si.changeRoute(simOtherService, 1) })
+			it.play(si)
+			si.runUntil(began.Add(24 * time.Second))
+			So(si.failed+si.refused+si.resetsOfOpen+si.wrongAnswers, ShouldEqual, 0)
+			So(len(si.misdelivered()), ShouldEqual, 0)
+			So(si.served, ShouldBeGreaterThan, 400)
+			So(slices.Max(si.worked()[3:]), ShouldEqual, 0)
+		})
+	}
+	Convey("Open flows go on when their service loses its weight", t, func() {
+		si := newChangedRouteSimulation(50)
+		si.keepAll(60, began.Add(14*time.Second), time.Second)
+		si.after(4*time.Second, func() { si.changeRoute(simService, 0) })
+		si.restartAgents(5*time.Second, 600*time.Millisecond)
+		si.restartBalancers(5*time.Second, 1200*time.Millisecond)
+		si.runUntil(began.Add(24 * time.Second))
+		So(si.failed+si.refused+si.resetsOfOpen+si.wrongAnswers, ShouldEqual, 0)
+		So(len(si.misdelivered()), ShouldEqual, 0)
+	})
+	Convey("A restarted agent delivers a flow that a balancer knew there, whatever its routes say", t, func() {
+		gw := newGateAtWork()
+		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+		gw.SetRoutes(&catalog.Routes{Version: 2, Addresses: map[netip.AddrPort]catalog.Route{
+			simAddress: {Services: catalog.WeightedServices{{Service: simOtherService, Weight: 1}}},
+		}})
+		gw.PresumeHealthy(gw.now)
+		So(kinds(gw.fromCaller(Packet{Sequence: 1001, Length: 100, Acknowledged: 500001})), ShouldResemble, []Kind{KindDeliver})
+	})
+}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -151,9 +151,9 @@
 	}
 }
 
-// SetRoutes replaces the routes if the given ones are of a higher version.
+// SetRoutes replaces the routes unless the given ones are of a lower version.
 func (ga *Gate) SetRoutes(ro *catalog.Routes) {
-	if ga.routes == nil || ro.Version > ga.routes.Version {
+	if ga.routes == nil || ro.Version >= ga.routes.Version {
 		ga.routes = ro
 	}
 }
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -9,13 +9,12 @@
 // packet is delivered if the host may hold the flow: after a restart of the agent
 // a balancer still sends the flows here that an earlier process confirmed to it.
 func (ga *Gate) handleUnknownFlow(now time.Time, fp ForwardedPacket, data []byte) {
-	if !ga.mayHold(now, fp.Flow) {
+	located := fp.Mode == DeliverOrQueue
+	if !ga.mayHold(now) || !located && ga.servedElsewhere(fp.Flow) {
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	}
-	hf := &hostFlow{
-		flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue,
-	}
+	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: located}
 	hf.exchange.host.start(fp.Acknowledged)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.trackRequest(now, fp.Packet, hf)
@@ -85,7 +84,7 @@
 	hf := ga.flows.peek(fr.Flow)
 	switch {
 	case hf == nil || hf.stage >= stageTentative && !hf.isOf(fr.Acknowledged):
-		if fr.Possible && ga.mayHold(now, fr.Flow) {
+		if fr.Possible && ga.mayHold(now) && !ga.servedElsewhere(fr.Flow) {
 			ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged})
 		}
 	case hf.isKnownHolder() && hf.isOf(fr.Acknowledged):
@@ -94,21 +93,20 @@
 	return ga.actions
 }
 
-// mayHold reports whether the host may hold a flow that the agent doesn't know.
-// This is so within one flow lifetime after the agent's start, if the host may
-// have started before the agent and the address isn't known to belong to other
-// services only.
-func (ga *Gate) mayHold(now time.Time, flow Flow) bool {
-	return ga.hostOlder && now.Sub(ga.started) < ga.lifetime && !ga.servedElsewhere(flow)
+// mayHold reports whether the host may hold flows that the agent doesn't know. This is
+// so within one flow lifetime after the agent's start, if the host may have started
+// before the agent.
+func (ga *Gate) mayHold(now time.Time) bool {
+	return ga.hostOlder && now.Sub(ga.started) < ga.lifetime
 }
 
-// servedElsewhere reports whether the flow's address is known to belong only to
-// other services than the host's. Agents of other services are asked too by a
-// balancer that doesn't know the routes yet.
+// servedElsewhere reports whether the flow's address is known to have belonged only to
+// other services than the host's, for as long as a flow may last. Agents of other
+// services are asked too by a balancer that doesn't know the routes yet.
 func (ga *Gate) servedElsewhere(flow Flow) bool {
 	if ga.routes == nil {
 		return false
 	}
 	ro, ok := ga.routes.Addresses[flow.Service]
-	return ok && ga.known && !ro.Services.Contains(ga.host.Service)
+	return ok && ga.known && !ro.Services.Names(ga.service)
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// SetRoutes replaces the routes if the given ones are of a higher version, and
+// SetRoutes replaces the routes unless the given ones are of a lower version, and
 // then places openings that wait.
 func (pl *Placer) SetRoutes(now time.Time, ro *catalog.Routes) []Action {
 	pl.actions = pl.actions[:0]
-	if pl.routes == nil || ro.Version > pl.routes.Version {
+	if pl.routes == nil || ro.Version >= pl.routes.Version {
 		pl.routes = ro
 		pl.unpark(now)
 	}
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -74,6 +74,7 @@
 	hosts        []*simHost
 	callers      map[Flow]*simCaller
 	routes       *catalog.Routes
+	former       *catalog.FormerServices
 	nextSequence uint32
 	// copyTimes are when a caller sends the copies of an opening packet.
 	copyTimes []time.Duration
@@ -177,6 +178,7 @@
 	si := &simulation{
 		now: began, random: rand.New(rand.NewPCG(seed, 1)), callers: make(map[Flow]*simCaller),
 		misdeliveries: make(map[Flow]*misdelivery),
+		former:        catalog.NewFormerServices(time.Minute),
 		copyTimes:     []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond},
 		routes: &catalog.Routes{Version: 1, Addresses: map[netip.AddrPort]catalog.Route{
 			simAddress: {Services: catalog.WeightedServices{{Service: simService, Weight: 1}}, LatencyTarget: 100 * time.Millisecond},
--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -13,6 +13,9 @@
 	pendingVersion uint64
 	pages          [][]byte
 	missingPages   int
+	// first says that the configuration is the first one, read from the store. Members
+	// then may know more of the same version: which services addresses had before.
+	first bool
 }
 
 // maxPages bounds the pages of a configuration, which is one object of the store
@@ -32,6 +35,7 @@
 	if version <= vi.version {
 		return vi.actions
 	}
+	vi.first = vi.version == 0
 	vi.version, vi.data = version, data
 	informed := map[string]struct{}{vi.self.Domain: {}}
 	for _, address := range vi.addresses() {
@@ -64,13 +68,13 @@
 	return vi.actions
 }
 
-// compareVersions sends the configuration to a member whose version is older, and
-// greets a member whose version is newer, so that it sends its configuration. The
-// greeting is left out if the member asked for an answer, which has the same
-// effect.
+// compareVersions sends the configuration to a member whose version is older, or that
+// joins with the same one, and greets a member whose version is newer, so that it sends
+// its configuration. The greeting is left out if the member asked for an answer, which
+// has the same effect.
 func (vi *View) compareVersions(from netip.AddrPort, gr *Greeting) {
 	switch {
-	case gr.Version < vi.version:
+	case gr.Version < vi.version || gr.joins() && gr.Version == vi.version:
 		vi.sendConfiguration(from)
 	case gr.Version > vi.version && !gr.WantAnswer:
 		vi.send(from, Message{Greeting: vi.greeting(RoleBalancer, true, false)})
@@ -88,9 +92,11 @@
 }
 
 // collect stores a page of a configuration, and replaces the present one when all
-// pages are there. Pages of a version that is not newer are ignored.
+// pages are there. Pages of a version that is not newer are ignored, unless it is that of
+// the first configuration.
 func (vi *View) collect(pa *Page) {
-	if pa.Version <= vi.version || pa.Version < vi.pendingVersion || pa.Index >= pa.Count || pa.Count > maxPages {
+	isNew := pa.Version > vi.version || vi.first && pa.Version == vi.version
+	if !isNew || pa.Version < vi.pendingVersion || pa.Index >= pa.Count || pa.Count > maxPages {
 		return
 	}
 	if pa.Version > vi.pendingVersion || len(vi.pages) != int(pa.Count) {
@@ -106,6 +112,6 @@
 		return
 	}
 	vi.version, vi.data = vi.pendingVersion, slices.Concat(vi.pages...)
-	vi.pages = nil
+	vi.pages, vi.first = nil, false
 	vi.actions = append(vi.actions, Action{Kind: KindConfiguration, Data: vi.data, Version: vi.version})
 }
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -284,6 +284,34 @@
 	})
 }
 
+// A process that had read the configuration from the store before it was greeted never
+// got what its peers know besides, such as the former services of an address.
+func TestConfigurationOfAJoiningMember(t *testing.T) {
+	Convey("A process that joins with the version of its peers gets their configuration once", t, func() {
+		older, joining := NewView(Record{Address: addressOf(1), Role: RoleBalancer, Domain: "a"}), NewView(Record{Address: addressOf(2), Role: RoleBalancer, Domain: "a"})
+		older.Publish(6, []byte("older"))
+		older.Publish(7, []byte("with history"))
+		joining.Publish(7, []byte("from the store"))
+		var configurations []string
+		var deliver func(to, from *View, list []Action)
+		deliver = func(to, from *View, list []Action) {
+			for _, ac := range slices.Clone(list) {
+				switch ac.Kind {
+				case KindSend:
+					deliver(from, to, to.Handle(began, from.Self().Address, ac.Message))
+				case KindConfiguration:
+					configurations = append(configurations, string(ac.Data))
+				}
+			}
+		}
+		deliver(older, joining, joining.Join(began, []Record{older.Self()}, nil))
+		So(configurations, ShouldResemble, []string{"with history"})
+		deliver(older, joining, joining.Tick(began.Add(time.Minute)))
+		deliver(joining, older, older.Tick(began.Add(time.Minute)))
+		So(len(configurations), ShouldEqual, 1)
+	})
+}
+
 func FuzzDecode(f *testing.F) {
 	me := Message{Greeting: &Greeting{Record: Record{Address: addressOf(1), Role: RoleAgent}}}
 	data, err := me.Encode()
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -63,6 +63,10 @@
 	WantView bool
 }
 
+// joins reports whether the sender has just started: others ask for a view only in an
+// answer.
+func (gr *Greeting) joins() bool { return gr.WantView && gr.WantAnswer }
+
 // Page is a part of the sender's view, in Records, or of its configuration. It is
 // encoded by position.
 type Page struct {
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -22,7 +23,8 @@
 // Route says which services get the new flows to one address, and how urgent
 // their requests are.
 type Route struct {
-	// Services are the services that new flows go to.
+	// Services are the services that new flows go to and, with a weight of zero, those
+	// that may only hold older flows.
 	Services WeightedServices
 	// LatencyTarget is the time within which a caller should get its answer; zero
 	// means that there is no target.
@@ -63,6 +65,12 @@
 	return ""
 }
 
+// Names reports whether the service gets new flows or may hold older ones: one of
+// weight zero gets none.
+func (ws WeightedServices) Names(service string) bool {
+	return slices.ContainsFunc(ws, func(sv WeightedService) bool { return sv.Service == service })
+}
+
 // Contains reports whether the service may get new flows.
 func (ws WeightedServices) Contains(service string) bool {
 	for _, sv := range ws {
--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -32,6 +32,8 @@
 	// StopWithin is the time after which the platform kills a process that it told
 	// to stop.
 	StopWithin Duration `min:"1s" max:"1h"`
+	// FlowLifetime is the longest time that a flow may last.
+	FlowLifetime Duration `min:"1s" max:"24h"`
 }
 
 // CarrierBalancer holds the settings of a balancer that forwards flows on the
@@ -59,8 +61,6 @@
 	FirstStart bool
 	// HeartbeatInterval is the time between two check-ins of the host.
 	HeartbeatInterval Duration `min:"10ms" max:"1m"`
-	// FlowLifetime is the longest time that a flow may last.
-	FlowLifetime Duration `min:"1s" max:"24h"`
 }
 
 const (
@@ -72,18 +72,22 @@
 	defaultFlowLifetime      = time.Minute
 )
 
+// defaultCarrier returns the default settings that balancers and agents share.
+func defaultCarrier() Carrier {
+	return Carrier{StopWithin: Duration(defaultCarrierStopWithin), FlowLifetime: Duration(defaultFlowLifetime)}
+}
+
 // DefaultCarrierBalancer returns the default settings of a balancer that forwards
 // flows on the platform.
 func DefaultCarrierBalancer() CarrierBalancer {
-	return CarrierBalancer{Carrier: Carrier{StopWithin: Duration(defaultCarrierStopWithin)}}
+	return CarrierBalancer{Carrier: defaultCarrier()}
 }
 
 // DefaultCarrierAgent returns the default settings of an agent that forwards flows
 // on the platform.
 func DefaultCarrierAgent() CarrierAgent {
 	return CarrierAgent{
-		Carrier:           Carrier{StopWithin: Duration(defaultCarrierStopWithin)},
+		Carrier:           defaultCarrier(),
 		HeartbeatInterval: Duration(defaultHeartbeatInterval),
-		FlowLifetime:      Duration(defaultFlowLifetime),
 	}
 }
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -51,6 +51,8 @@
 	mu     sync.Mutex
 	view   *members.View
 	routes *catalog.Routes
+	// former keeps the services that addresses had before.
+	former *catalog.FormerServices
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
@@ -93,6 +95,7 @@
 	}
 	no := &node{
 		settings: st, store: sr, metrics: rg, peerConn: peerConn, started: now,
+		former: catalog.NewFormerServices(time.Duration(st.FlowLifetime)),
 		view: members.NewView(members.Record{
 			Revision: register.Revision{Incarnation: uint64(now.UnixMilli())},
 			Address:  st.Peers, Role: role, Domain: st.Domain,
@@ -291,37 +294,44 @@
 	no.setRoutes(now, ro, "member")
 }
 
-// setRoutes puts the routes in force if they are newer than the present ones. It is
-// called with mu held.
+// setRoutes puts the routes in force, with the former services of their addresses,
+// unless they are older than the present ones. It is called with mu held.
 func (no *node) setRoutes(now time.Time, ro *catalog.Routes, source string) {
-	if no.routes != nil && ro.Version <= no.routes.Version {
-		if ro.Version < no.routes.Version {
-			klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", no.routes.Version, "source", source)
-		}
-		return
-	}
 	before := uint64(0)
 	if no.routes != nil {
 		before = no.routes.Version
 	}
-	no.routes = ro
-	no.onRoutes(now, ro)
+	switch {
+	case ro.Version < before:
+		klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", before, "source", source)
+		return
+	case ro.Version == before && no.routes != nil:
+		// A member may know more former services of the same version.
+		no.routes = no.former.Succeed(now, ro, no.routes)
+	default:
+		no.routes = no.former.Succeed(now, no.routes, ro)
+	}
+	no.onRoutes(now, no.routes)
 	no.metrics.Set("ConfigurationVersion", int64(ro.Version))
 	klog.InfoS("Configuration in force", "version", ro.Version, "before", before,
 		"addresses", len(ro.Addresses), "source", source)
 }
 
-// publish puts routes from the store in force and sends them to other members.
+// publish puts routes from the store in force, if they are newer, and sends them to
+// other members.
 func (no *node) publish(ro *catalog.Routes) {
-	data, err := waybill.EncodeRoutes(ro)
-	if err != nil {
-		klog.ErrorS(err, "Configuration not sent to members", "version", ro.Version)
-		return
-	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
+	if no.routes != nil && ro.Version == no.routes.Version {
+		return
+	}
 	now := time.Now()
 	no.setRoutes(now, ro, "store")
+	data, err := waybill.EncodeRoutes(no.routes)
+	if err != nil {
+		klog.ErrorS(err, "Configuration not sent to members", "version", ro.Version)
+		return
+	}
 	no.performMemberActions(now, no.view.Publish(ro.Version, data))
 	no.schedule(now)
 }
