fix(carriage): a balancer that has just started asks other services for a flow

Open flows of that route were not found afterwards, and their packets went to three hosts of the new service.

Cause: the former services of an address travel with the routes, but the version had been written while no balancer ran. The balancers read it from the store without them, and their peers had no later version to send. The agents did know, and nobody asked them.

Fix: for a flow's lifetime after its start a balancer asks the agents of other services when it has found a flow neither at the candidates nor at the present services, at most once in 2 s for a flow.

The new case of TestOpenFlowsAfterTheirRouteChangesItsService failed before with 60 of 60 flows.

--- a/internal/coordination/carriage/changedroute_test.go
+++ b/internal/coordination/carriage/changedroute_test.go
@@ -32,13 +32,17 @@
 	return si
 }
 
+// routesTo returns routes that give simAddress to the service.
+func routesTo(version uint64, service string, weight uint32) *catalog.Routes {
+	return &catalog.Routes{Version: version, Addresses: map[netip.AddrPort]catalog.Route{
+		simAddress: {Services: catalog.WeightedServices{{Service: service, Weight: weight}}, LatencyTarget: 100 * time.Millisecond},
+	}}
+}
+
 // changeRoute gives the route of simAddress to the service. All processes learn of it at
 // once, and those that start later from their peers.
 func (si *simulation) changeRoute(service string, weight uint32) {
-	next := &catalog.Routes{Version: si.routes.Version + 1, Addresses: map[netip.AddrPort]catalog.Route{
-		simAddress: {Services: catalog.WeightedServices{{Service: service, Weight: weight}}, LatencyTarget: 100 * time.Millisecond},
-	}}
-	si.routes = si.former.Succeed(si.now, si.routes, next)
+	si.routes = si.former.Succeed(si.now, si.routes, routesTo(si.routes.Version+1, service, weight))
 	for _, ho := range si.hosts {
 		ho.gate.SetRoutes(si.routes)
 	}
@@ -91,6 +95,26 @@
 			So(slices.Max(si.worked()[3:]), ShouldEqual, 0)
 		})
 	}
+	Convey("Open flows are found by balancers that were all down when their route changed its service", t, func() {
+		si := newChangedRouteSimulation(51)
+		si.keepAll(60, began.Add(14*time.Second), time.Second)
+		si.after(4*time.Second, func() {
+			for i := range si.balancers {
+				si.balancers[i].live = false
+			}
+			si.rotation = nil
+			si.changeRoute(simOtherService, 1)
+			si.storeRoutes = routesTo(si.routes.Version, simOtherService, 1)
+		})
+		si.after(4500*time.Millisecond, func() {
+			for i := range si.balancers {
+				si.startBalancer(i)
+			}
+		})
+		si.runUntil(began.Add(24 * time.Second))
+		So(si.failed+si.refused+si.resetsOfOpen+si.wrongAnswers, ShouldEqual, 0)
+		So(len(si.misdelivered()), ShouldEqual, 0)
+	})
 	Convey("Open flows go on when their service loses its weight", t, func() {
 		si := newChangedRouteSimulation(50)
 		si.keepAll(60, began.Add(14*time.Second), time.Second)
@@ -101,12 +125,20 @@
 		So(si.failed+si.refused+si.resetsOfOpen+si.wrongAnswers, ShouldEqual, 0)
 		So(len(si.misdelivered()), ShouldEqual, 0)
 	})
+	Convey("A restarted agent claims no flow of an address that may be another service's", t, func() {
+		for _, ro := range []*catalog.Routes{nil, routesTo(2, simOtherService, 1)} {
+			gw := newGateAtWork()
+			gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+			if ro != nil {
+				gw.SetRoutes(ro)
+			}
+			So(gw.HandleFind(gw.now, gw.flow.Caller, FindRequest{Flow: gw.flow, Acknowledged: 500001, Possible: true}), ShouldBeEmpty)
+		}
+	})
 	Convey("A restarted agent delivers a flow that a balancer knew there, whatever its routes say", t, func() {
 		gw := newGateAtWork()
 		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
-		gw.SetRoutes(&catalog.Routes{Version: 2, Addresses: map[netip.AddrPort]catalog.Route{
-			simAddress: {Services: catalog.WeightedServices{{Service: simOtherService, Weight: 1}}},
-		}})
+		gw.SetRoutes(routesTo(2, simOtherService, 1))
 		gw.PresumeHealthy(gw.now)
 		So(kinds(gw.fromCaller(Packet{Sequence: 1001, Length: 100, Acknowledged: 500001})), ShouldResemble, []Kind{KindDeliver})
 	})
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -71,8 +71,8 @@
 const presumedSlots = 2
 
 // PresumeHealthy handles a health check that found the host healthy and not draining.
-// Until the host checks in it is presumed to be ready, so that
-// an agent that was restarted can serve at once.
+// Until the host checks in it is presumed to be ready, so that an agent that was
+// restarted can serve at once.
 func (ga *Gate) PresumeHealthy(now time.Time) []Action {
 	ga.actions = ga.actions[:0]
 	if ga.known || ga.gone {
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -100,13 +100,13 @@
 	return ga.hostOlder && now.Sub(ga.started) < ga.lifetime
 }
 
-// servedElsewhere reports whether the flow's address is known to have belonged only to
-// other services than the host's, for as long as a flow may last. Agents of other
-// services are asked too by a balancer that doesn't know the routes yet.
+// servedElsewhere reports whether the flow's address may have belonged only to other
+// services than the host's, for as long as a flow may last. Agents of other services are
+// asked too, by a balancer that doesn't know the present or the former routes.
 func (ga *Gate) servedElsewhere(flow Flow) bool {
 	if ga.routes == nil {
-		return false
+		return true
 	}
 	ro, ok := ga.routes.Addresses[flow.Service]
-	return ok && ga.known && !ro.Services.Names(ga.service)
+	return ok && !ro.Services.Names(ga.service)
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -44,6 +44,10 @@
 // use.
 type Placer struct {
 	domain string
+	// started is when the balancer started; lifetime is the longest time that a flow may
+	// last.
+	started  time.Time
+	lifetime time.Duration
 	// startup is the end of the time in which hosts may run that are not known
 	// yet.
 	startup time.Time
@@ -69,12 +73,14 @@
 	// OpeningTimeout is how long after its first opening packet a caller gives up
 	// if it gets no answer.
 	OpeningTimeout time.Duration
+	// FlowLifetime is the longest time that a flow may last.
+	FlowLifetime time.Duration
 }
 
 // NewPlacer returns the Placer of a balancer that starts now.
 func NewPlacer(now time.Time, st PlacerSettings) *Placer {
 	return &Placer{
-		domain: st.Domain, startup: now.Add(startupTime),
+		domain: st.Domain, started: now, lifetime: st.FlowLifetime, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string]pool),
 		medians: make(map[string]medianTime),
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -56,6 +56,11 @@
 	roundLocal
 	// roundRemote asks the agents of the other failure domains.
 	roundRemote
+	// roundOtherServices asks the agents of all other services, while the balancer runs for
+	// less than a flow's lifetime: it may not know a service that the flow's address had
+	// before its start. Agents claim a flow only if their host holds it, or if they know
+	// that the address belonged to their service.
+	roundOtherServices
 	// roundTryOtherCandidates sends the packet to the rest of the candidates that
 	// possibly hold the flow.
 	roundTryOtherCandidates
@@ -102,7 +107,8 @@
 	withPossible bool
 	// resumes is, in phaseLost, the time from which a packet starts another search;
 	// askPossible is when roundAllPossible may come next.
-	resumes, askPossible time.Time
+	// askOthers is the same for roundOtherServices.
+	resumes, askPossible, askOthers time.Time
 }
 
 // buffer stores a copy of a packet until the flow is found. Above maxBuffered
@@ -122,11 +128,18 @@
 
 // mayAskPossible reports whether all agents may be asked for possible holders now. If
 // so, they may not for possibleInterval.
-func (se *search) mayAskPossible(now time.Time) bool {
-	if now.Before(se.askPossible) {
+func (se *search) mayAskPossible(now time.Time) bool { return postpone(now, &se.askPossible) }
+
+// mayAskOthers reports the same for the agents of other services.
+func (se *search) mayAskOthers(now time.Time) bool { return postpone(now, &se.askOthers) }
+
+// postpone reports whether the time has come, and then moves it to possibleInterval from
+// now.
+func postpone(now time.Time, at *time.Time) bool {
+	if now.Before(*at) {
 		return false
 	}
-	se.askPossible = now.Add(possibleInterval)
+	*at = now.Add(possibleInterval)
 	return true
 }
 
@@ -156,7 +169,7 @@
 func (pl *Placer) restartSearch(now time.Time, tf *trackedFlow, pk Packet, data []byte) {
 	tf.search = search{
 		acknowledged: pk.Acknowledged, excluded: tf.search.excluded, askPossible: tf.search.askPossible,
-		repeated: tf.phase == phaseLost,
+		askOthers: tf.search.askOthers, repeated: tf.phase == phaseLost,
 	}
 	tf.phase = phaseSearching
 	tf.agent = nil
@@ -178,7 +191,9 @@
 		}
 	}
 	tf.phase = phaseLost
-	tf.search = search{excluded: se.excluded, askPossible: se.askPossible, resumes: now.Add(lostPause)}
+	tf.search = search{
+		excluded: se.excluded, askPossible: se.askPossible, askOthers: se.askOthers, resumes: now.Add(lostPause),
+	}
 	pl.drop(tf.flow, ReasonNotFound, false)
 }
 
@@ -202,6 +217,11 @@
 		if pl.ask(tf, remote, se.withPossible) > 0 {
 			return allAgentsWait
 		}
+	case roundOtherServices:
+		if others := pl.agentsOfOtherServices(now, tf.flow); len(others) > 0 && se.mayAskOthers(now) {
+			pl.ask(tf, others, true)
+			return allAgentsWait
+		}
 	case roundAllPossible:
 		if !se.doubted || !se.mayAskPossible(now) {
 			break
@@ -277,6 +297,27 @@
 	return local, remote
 }
 
+// agentsOfOtherServices returns the agents of the services that the flow's address is not
+// known to have had. It returns none once the balancer has run for a flow's lifetime, as
+// it then knows them all.
+func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
+	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime {
+		return nil
+	}
+	ro, ok := pl.routes.Addresses[flow.Service]
+	if !ok {
+		return nil
+	}
+	var list []*agent
+	for service, pool := range pl.pools {
+		if !ro.Services.Names(service) {
+			list = append(list, pool...)
+		}
+	}
+	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+	return list
+}
+
 // nextPossible removes and returns the next agent whose host possibly holds the
 // flow and that wasn't excluded, nil if none is left.
 func (pl *Placer) nextPossible(tf *trackedFlow) *agent {
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -70,11 +70,14 @@
 	loss      float64
 	balancers []*simBalancer
 	// rotation lists the indexes of the balancers to which the fabric sends packets.
-	rotation     []int
-	hosts        []*simHost
-	callers      map[Flow]*simCaller
-	routes       *catalog.Routes
-	former       *catalog.FormerServices
+	rotation []int
+	hosts    []*simHost
+	callers  map[Flow]*simCaller
+	routes   *catalog.Routes
+	former   *catalog.FormerServices
+	// storeRoutes are what a balancer gets at its start if no peer has told it more, nil
+	// if one has.
+	storeRoutes  *catalog.Routes
 	nextSequence uint32
 	// copyTimes are when a caller sends the copies of an opening packet.
 	copyTimes []time.Duration
@@ -229,11 +232,15 @@
 
 func (si *simulation) startBalancer(i int) {
 	ba := si.balancers[i]
-	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout})
+	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute})
 	ba.live = true
 	si.rotation = append(si.rotation, i)
 	slices.Sort(si.rotation)
-	si.performBalancer(ba, ba.placer.SetRoutes(si.now, si.routes))
+	routes := si.routes
+	if si.storeRoutes != nil {
+		routes = si.storeRoutes
+	}
+	si.performBalancer(ba, ba.placer.SetRoutes(si.now, routes))
 	si.sendRecords(ba)
 }
 
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
-		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout,
+		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
 	})}
 	no.onDeadline = func(now time.Time) { ba.performFlowActions(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
