--- a/internal/coordination/carriage/changedroute_test.go
+++ b/internal/coordination/carriage/changedroute_test.go
@@ -128,7 +128,7 @@
 	Convey("A restarted agent claims no flow of an address that may be another service's", t, func() {
 		for _, ro := range []*catalog.Routes{nil, routesTo(2, simOtherService, 1)} {
 			gw := newGateAtWork()
-			gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+			gw.restartAgent()
 			if ro != nil {
 				gw.SetRoutes(ro)
 			}
@@ -137,7 +137,7 @@
 	})
 	Convey("A restarted agent delivers a flow that a balancer knew there, whatever its routes say", t, func() {
 		gw := newGateAtWork()
-		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+		gw.restartAgent()
 		gw.SetRoutes(routesTo(2, simOtherService, 1))
 		gw.PresumeHealthy(gw.now)
 		So(kinds(gw.fromCaller(Packet{Sequence: 1001, Length: 100, Acknowledged: 500001})), ShouldResemble, []Kind{KindDeliver})
--- a/internal/coordination/carriage/checkin_test.go
+++ b/internal/coordination/carriage/checkin_test.go
@@ -52,7 +52,7 @@
 	}
 	Convey("A check-in of another host names no host to an agent that has just started", t, func() {
 		gw := newGateAtWork()
-		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+		gw.restartAgent()
 		ci := gw.checkIn(1)
 		ci.Service = "unnamed"
 		_, err := gw.CheckIn(gw.now, ci)
--- a/internal/coordination/carriage/reuse_test.go
+++ b/internal/coordination/carriage/reuse_test.go
@@ -19,12 +19,24 @@
 
 func newGateAtWork() *gateAtWork {
 	gw := &gateAtWork{now: began, flow: Flow{Caller: netip.MustParseAddrPort("100.64.0.1:1024"), Service: simAddress}}
-	gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout, FirstStart: true})
+	gw.startAgent(true)
 	gw.SetRoutes(newSimulation(1, 1, 1).routes)
 	gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now, Sequence: 1, Service: simService, Address: simHostAddress, Slots: simSlots})
 	return gw
 }
 
+// startAgent replaces the gate by that of an agent that starts now, without a check-in.
+// First says that no host holds a flow yet.
+func (gw *gateAtWork) startAgent(first bool) {
+	gw.Gate = NewGate(gw.now, GateSettings{
+		Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute,
+		OpeningTimeout: simOpeningTimeout, FirstStart: first,
+	})
+}
+
+// restartAgent replaces the gate by that of an agent that was restarted.
+func (gw *gateAtWork) restartAgent() { gw.startAgent(false) }
+
 func (gw *gateAtWork) fromCaller(pk Packet) []Action {
 	pk.Flow = gw.flow
 	return gw.HandleForwarded(gw.now, ForwardedPacket{Packet: pk, Mode: DeliverOrQueue, ServiceHash: serviceHash(simService), Started: gw.now}, nil)
@@ -143,7 +155,7 @@
 	})
 	Convey("A restarted agent keeps the reset of an ended flow from the caller, whose next flow is elsewhere", t, func() {
 		gw := newGateAtWork()
-		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+		gw.restartAgent()
 		gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now.Add(-time.Minute), Sequence: 50, Service: simService, Address: simHostAddress, Slots: simSlots})
 		next := Packet{Sequence: 900001, Length: 100, Acknowledged: 7000001}
 		So(kinds(gw.fromCaller(next)), ShouldResemble, []Kind{KindDeliver})
@@ -153,7 +165,7 @@
 	})
 	Convey("A late packet of the former flow keeps no packets from the host that holds the next one", t, func() {
 		gw := newGateAtWork()
-		gw.Gate = NewGate(gw.now, GateSettings{Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout})
+		gw.restartAgent()
 		gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now.Add(-time.Minute), Sequence: 50, Service: simService, Address: simHostAddress, Slots: simSlots})
 		late := Packet{Sequence: 1101, Length: 100, Acknowledged: 500601}
 		So(kinds(gw.fromCaller(late)), ShouldResemble, []Kind{KindDeliver})
