test(carriage): one function restarts an agent beside its older host

Two cases of TestReusedAddresses wrote the restart and the check-in out. Their assertions are the same; the package's tests and the linter pass.

--- a/internal/coordination/carriage/reuse_test.go
+++ b/internal/coordination/carriage/reuse_test.go
@@ -37,6 +37,12 @@
 // restartAgent replaces the gate by that of an agent that was restarted.
 func (gw *gateAtWork) restartAgent() { gw.startAgent(false) }
 
+// restartAgentBesideHost is the same, and the host, which is older, has checked in again.
+func (gw *gateAtWork) restartAgentBesideHost() {
+	gw.restartAgent()
+	gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now.Add(-time.Minute), Sequence: 50, Service: simService, Address: simHostAddress, Slots: simSlots})
+}
+
 func (gw *gateAtWork) fromCaller(pk Packet) []Action {
 	pk.Flow = gw.flow
 	return gw.HandleForwarded(gw.now, ForwardedPacket{Packet: pk, Mode: DeliverOrQueue, ServiceHash: serviceHash(simService), Started: gw.now}, nil)
@@ -155,8 +161,7 @@
 	})
 	Convey("A restarted agent keeps the reset of an ended flow from the caller, whose next flow is elsewhere", t, func() {
 		gw := newGateAtWork()
-		gw.restartAgent()
-		gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now.Add(-time.Minute), Sequence: 50, Service: simService, Address: simHostAddress, Slots: simSlots})
+		gw.restartAgentBesideHost()
 		next := Packet{Sequence: 900001, Length: 100, Acknowledged: 7000001}
 		So(kinds(gw.fromCaller(next)), ShouldResemble, []Kind{KindDeliver})
 		So(kinds(gw.fromHost(Packet{Resets: true, Sequence: 7000001})), ShouldResemble, []Kind{KindDrop})
@@ -165,8 +170,7 @@
 	})
 	Convey("A late packet of the former flow keeps no packets from the host that holds the next one", t, func() {
 		gw := newGateAtWork()
-		gw.restartAgent()
-		gw.CheckIn(gw.now, CheckIn{Name: "h", StartedAt: gw.now.Add(-time.Minute), Sequence: 50, Service: simService, Address: simHostAddress, Slots: simSlots})
+		gw.restartAgentBesideHost()
 		late := Packet{Sequence: 1101, Length: 100, Acknowledged: 500601}
 		So(kinds(gw.fromCaller(late)), ShouldResemble, []Kind{KindDeliver})
 		late.Returned = true
