--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -102,41 +102,6 @@
 	return cost
 }
 
-// choose returns the agent with the lowest cost for a new flow among those that
-// were not tried, nil if none is left. Agents of draining hosts come last.
-func (pl *Placer) choose(now time.Time, tf *trackedFlow) *agent {
-	pool := pl.pools[tf.service]
-	if len(pool) == 0 {
-		return nil
-	}
-	var best *agent
-	least := math.Inf(1)
-	preferred := pl.candidatesOf(tf.flow, tf.service)
-	median := pl.medianOf(now, tf.service)
-	start := int(tf.flow.Hash() % uint64(len(pool)))
-	for i := range pool {
-		ag := pool[(start+i)%len(pool)]
-		if tf.hasTried(ag) || !ag.acceptsOpenings() {
-			continue
-		}
-		cost := pl.cost(now, ag, median) + ag.extraCost()
-		if !preferred.contains(ag) {
-			cost += nonCandidateCost
-		}
-		if cost < least {
-			best, least = ag, cost
-		}
-	}
-	return best
-}
-
-// acceptsOpenings reports whether an opening may be sent to the agent. This is so
-// also for a draining host, which takes flows during drainGrace if no other host
-// does.
-func (ag *agent) acceptsOpenings() bool {
-	return ag.takesNewFlows() || !ag.suspect && ag.report.State == register.StateDraining
-}
-
 // drainingCost is added to the cost of a draining host. It is far above the cost
 // of any other host, so that those are chosen first.
 const drainingCost = 1000
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -73,14 +73,19 @@
 // it is parked or refused.
 func (pl *Placer) place(now time.Time, tf *trackedFlow) {
 	ag := pl.choose(now, tf)
-	switch {
-	case ag == nil || len(tf.tried) >= maxAttempts:
+	if ag == nil || len(tf.tried) >= maxAttempts {
 		pl.parkOrRefuse(now, tf)
-	case len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots):
-		pl.attempt(now, tf, ag, DeliverIfFree)
-	default:
-		pl.attempt(now, tf, ag, DeliverOrQueue)
+		return
+	}
+	pl.attempt(now, tf, ag, tf.modeAt(now, ag))
+}
+
+// modeAt returns the mode in which the opening is sent to the agent.
+func (tf *trackedFlow) modeAt(now time.Time, ag *agent) DeliveryMode {
+	if len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots) {
+		return DeliverIfFree
 	}
+	return DeliverOrQueue
 }
 
 // attempt sends the opening packet to the agent and notes the agent as tried.
--- a/internal/coordination/carriage/servicetime.go
+++ b/internal/coordination/carriage/servicetime.go
@@ -70,26 +70,39 @@
 	expires time.Time
 }
 
-// medianOf returns the median of the service times that the hosts of the service
-// report, which is the lower of the two middle ones if their number is even. It
-// is zero while less than two hosts report one.
+// medianOf returns the median service time of the service's hosts and caches it
+// for medianRefresh.
 func (pl *Placer) medianOf(now time.Time, service string) time.Duration {
-	if mt, ok := pl.medians[service]; ok && now.Before(mt.expires) {
-		return mt.time
+	if mt, ok := pl.cachedMedian(now, service); ok {
+		return mt
 	}
+	mt := pl.pools[service].median()
+	pl.medians[service] = medianTime{time: mt, expires: now.Add(medianRefresh)}
+	return mt
+}
+
+// cachedMedian returns the median that medianOf has cached for the service, false
+// if it has none or that has expired.
+func (pl *Placer) cachedMedian(now time.Time, service string) (time.Duration, bool) {
+	mt, ok := pl.medians[service]
+	return mt.time, ok && now.Before(mt.expires)
+}
+
+// median returns the median of the service times that the hosts report, which is
+// the lower of the two middle ones if their number is even. It is zero while less
+// than two hosts report one.
+func (po pool) median() time.Duration {
 	var times []time.Duration
-	for _, ag := range pl.pools[service] {
+	for _, ag := range po {
 		if ag.report.ServiceTime > 0 {
 			times = append(times, ag.report.ServiceTime)
 		}
 	}
-	mt := medianTime{expires: now.Add(medianRefresh)}
-	if len(times) > 1 {
-		slices.Sort(times)
-		mt.time = times[(len(times)-1)/2]
+	if len(times) < 2 {
+		return 0
 	}
-	pl.medians[service] = mt
-	return mt.time
+	slices.Sort(times)
+	return times[(len(times)-1)/2]
 }
 
 // slowness returns the ratio of the host's service time to the median, 1 if the
