feat(carriage): explain where an opening would go and why

An operator could not ask a balancer why a flow went to one host and not to another; only the inputs of the chosen host were logged. `Placer.Explain` returns what would become of the opening (sent, waiting, refused with a reason), and each host with its inputs, its cost and why it is chosen or passed over. It evaluates the hosts with the same ranking as `choose`. It computes the median service time without writing its cache, as a median cached by a question would change later choices. Hosts of other services are bounded, as the state is locked meanwhile.

A new skip reason needs its constant and an entry of `skipReasonNames`; a test fails without the name.

--- /dev/null
+++ b/internal/coordination/carriage/explain_test.go
@@ -0,0 +1,257 @@
+package carriage
+
+import (
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// drawnHost is an agent in a drawn view, with what the balancer knows of its host.
+type drawnHost struct {
+	agent     Agent
+	report    Report
+	reported  bool
+	reportAge time.Duration
+	sent      int
+	suspect   bool
+	retrySlow time.Duration
+}
+
+// drawnView is a balancer's view. A placer is made from it as often as needed.
+type drawnView struct {
+	routes *catalog.Routes
+	hosts  []drawnHost
+	// age is the time since the balancer's start, earlier that of its last opening,
+	// at which the median is cached.
+	age, earlier time.Duration
+	silence      time.Duration
+	balancers    int
+}
+
+func drawHost(rt *rapid.T, i int) drawnHost {
+	states := []register.State{0, register.StateWarming, register.StateReady, register.StateReady, register.StateDraining, register.StateGone}
+	ho := drawnHost{
+		agent: Agent{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 7000),
+			Service: rapid.SampledFrom([]string{simService, simService, simOtherService, "third"}).Draw(rt, "service"),
+			Domain:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain"),
+		},
+		report: Report{
+			State: rapid.SampledFrom(states).Draw(rt, "state"), InProgress: rapid.Uint16Range(0, 6).Draw(rt, "inProgress"),
+			Expected: float64(rapid.IntRange(0, 4).Draw(rt, "expected")) / 2, Slots: rapid.Uint16Range(0, 4).Draw(rt, "slots"),
+			ServiceTime: time.Duration(rapid.IntRange(0, 4).Draw(rt, "serviceTime")) * 20 * time.Millisecond,
+		},
+		reported:  rapid.Bool().Draw(rt, "reported"),
+		reportAge: time.Duration(rapid.IntRange(0, 300).Draw(rt, "reportAge")) * time.Millisecond,
+		sent:      rapid.IntRange(0, 3).Draw(rt, "sent"),
+		suspect:   rapid.IntRange(0, 3).Draw(rt, "suspect") == 0,
+		retrySlow: time.Duration(rapid.IntRange(-1, 1).Draw(rt, "retrySlow")) * time.Second,
+	}
+	ho.agent.Incarnation = 1
+	ho.agent.State, ho.agent.Slots, ho.agent.ServiceTime = ho.report.State, ho.report.Slots, ho.report.ServiceTime
+	return ho
+}
+
+func drawView(rt *rapid.T) drawnView {
+	vi := drawnView{
+		age:       time.Duration(rapid.IntRange(0, 6000).Draw(rt, "age")) * time.Millisecond,
+		earlier:   time.Duration(rapid.IntRange(0, 150).Draw(rt, "earlier")) * time.Millisecond,
+		silence:   time.Duration(rapid.IntRange(0, 300).Draw(rt, "silence")) * time.Millisecond,
+		balancers: rapid.IntRange(0, 3).Draw(rt, "balancers"),
+	}
+	if rapid.IntRange(0, 9).Draw(rt, "routes") > 0 {
+		vi.routes = &catalog.Routes{Version: 7, Addresses: map[netip.AddrPort]catalog.Route{
+			simAddress: {Services: catalog.WeightedServices{
+				{Service: simService, Weight: uint32(rapid.IntRange(0, 2).Draw(rt, "weight"))},
+				{Service: simOtherService, Weight: uint32(rapid.IntRange(0, 1).Draw(rt, "otherWeight"))},
+			}},
+		}}
+	}
+	for i := range rapid.IntRange(0, 12).Draw(rt, "hosts") {
+		vi.hosts = append(vi.hosts, drawHost(rt, i))
+	}
+	return vi
+}
+
+// placer returns a placer with the view, and the present time.
+func (vi *drawnView) placer() (*Placer, time.Time) {
+	now := began.Add(vi.age)
+	pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout})
+	pl.SetOtherBalancers(vi.balancers)
+	if vi.routes != nil {
+		pl.SetRoutes(began, vi.routes)
+	}
+	for _, ho := range vi.hosts {
+		pl.SetAgent(began, ho.agent)
+		if ho.reported {
+			pl.HandleReport(now.Add(-ho.reportAge), ho.agent.Address, ho.report)
+		}
+	}
+	// Caches the medians of an earlier time, from which the present ones may differ.
+	for service := range pl.pools {
+		pl.medianOf(now.Add(-vi.earlier), service)
+	}
+	for _, ho := range vi.hosts {
+		ag := pl.agents[ho.agent.Address]
+		if ho.suspect {
+			pl.suspectAgent(now.Add(-vi.silence), ag)
+		}
+		ag.sent = ho.sent
+		ag.retrySlow = now.Add(ho.retrySlow)
+		ag.report.ServiceTime = ho.report.ServiceTime * 2
+	}
+	pl.actions = nil
+	return pl, now
+}
+
+// It guards against an explanation that differs from what the balancer then does with
+// the opening.
+func TestExplanationAgreesWithChoice(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vi := drawView(rt)
+		flow := benchFlow(rapid.IntRange(0, 999).Draw(rt, "flow"))
+		if rapid.IntRange(0, 9).Draw(rt, "unknown") == 0 {
+			flow.Service = netip.MustParseAddrPort("198.18.0.9:443")
+		}
+		pl, now := vi.placer()
+		ex := pl.Explain(now, flow)
+		if ex.Service != "" {
+			tf := &trackedFlow{flow: flow, service: ex.Service, opened: now, index: -1}
+			chosen := pl.choose(now, tf)
+			switch {
+			case ex.Kind != KindForward && chosen != nil && !pl.isolated(now):
+				rt.Fatalf("%s would be chosen, the explanation is %+v", chosen.address, ex)
+			case ex.Kind == KindForward && (chosen == nil || chosen.address != ex.Choice):
+				rt.Fatalf("%+v would be chosen, the explanation is %+v", chosen, ex)
+			}
+		}
+		// The placer that has chosen above has a median cached.
+		pl, now = vi.placer()
+		list := pl.HandlePacket(now, Packet{Flow: flow, Opening: true}, nil)
+		if len(list) != 1 {
+			rt.Fatalf("the opening has %d actions: %+v", len(list), list)
+		}
+		done := list[0]
+		if done.Kind != ex.Kind || done.To != ex.Choice || done.Mode != ex.Mode || done.Reason != ex.Reason {
+			rt.Fatalf("the opening was handled as %+v, the explanation is %+v", done, ex)
+		}
+	})
+}
+
+// It guards against a question that changes what the balancer does afterwards, such as
+// by an entry in a cache.
+func TestExplainChangesNoState(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vi := drawView(rt)
+		asked, now := vi.placer()
+		untouched, _ := vi.placer()
+		var first Explanation
+		for i := range 3 {
+			flow := benchFlow(rapid.IntRange(0, 999).Draw(rt, "flow"))
+			ex := asked.Explain(now, flow)
+			if again := asked.Explain(now, flow); !reflect.DeepEqual(ex, again) {
+				rt.Fatalf("the same question is answered with %+v and %+v", ex, again)
+			}
+			if i == 0 {
+				first = ex
+			}
+		}
+		if !reflect.DeepEqual(asked, untouched) {
+			rt.Fatalf("the state differs: %+v, untouched %+v", asked, untouched)
+		}
+		pk := Packet{Flow: first.Flow, Opening: true}
+		if one, other := asked.HandlePacket(now, pk, nil), untouched.HandlePacket(now, pk, nil); !reflect.DeepEqual(one, other) {
+			rt.Fatalf("after questions an opening is handled as %+v, without them as %+v", one, other)
+		}
+	})
+}
+
+// It guards against a host that is missing in the explanation, or whose reason
+// contradicts its inputs.
+func TestExplanationOfEachHost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vi := drawView(rt)
+		pl, now := vi.placer()
+		ex := pl.Explain(now, benchFlow(rapid.IntRange(0, 999).Draw(rt, "flow")))
+		if ex.Service == "" {
+			return
+		}
+		if len(ex.Hosts)+ex.OtherHosts != len(pl.agents) {
+			rt.Fatalf("%d of %d hosts are explained: %+v", len(ex.Hosts), len(pl.agents), ex)
+		}
+		for i, ho := range ex.Hosts {
+			ag := pl.agents[ho.Address]
+			var fits bool
+			switch ho.Reason {
+			case HostChosen:
+				fits = i == 0 && ho.Address == ex.Choice && ex.Kind == KindForward && ho.Ranked
+			case "Suspected":
+				fits = ag.suspect && !ho.Ranked
+			case "TakesNoFlows":
+				fits = !ho.State.TakesNewWork() && ho.State != register.StateDraining && !ho.Ranked
+			case HostDraining:
+				fits = ho.State == register.StateDraining && ho.Cost >= ex.Hosts[0].Cost
+			case HostNotCandidate:
+				fits = !ho.Candidate && ho.Cost >= ex.Hosts[0].Cost
+			case HostCostsMore:
+				fits = ho.Candidate && ho.Cost > ex.Hosts[0].Cost
+			case HostCostsTheSame:
+				fits = ho.Candidate && ho.Cost == ex.Hosts[0].Cost
+			case HostNotConsidered:
+				fits = ex.Reason == ReasonIsolated && ho.Ranked
+			case HostOtherService:
+				fits = ho.Service != ex.Service && !ho.Ranked
+			}
+			if !fits || ag.service != ho.Service {
+				rt.Fatalf("the reason %q doesn't fit: %+v of %+v", ho.Reason, ho, ex)
+			}
+		}
+	})
+}
+
+// It guards against a skip reason without a name, whose hosts would be explained as if
+// they had been ranked.
+func TestEachSkipReasonHasAName(t *testing.T) {
+	Convey("Each skip reason has a name of its own", t, func() {
+		var names []HostReason
+		for skip := skipNone + 1; skip < skipReasonCount; skip++ {
+			So(skipReasonNames[skip], ShouldNotBeEmpty)
+			So(slices.Contains(names, skipReasonNames[skip]), ShouldBeFalse)
+			names = append(names, skipReasonNames[skip])
+		}
+	})
+}
+
+// It guards against an explanation that grows with the number of all hosts while the
+// balancer's state is locked.
+func TestExplanationBoundsHostsOfOtherServices(t *testing.T) {
+	Convey("Hosts of the address's other services are listed first, and at most maxOtherHosts in all", t, func() {
+		pl := newBenchPlacer(4)
+		pl.SetRoutes(began, &catalog.Routes{Version: 2, Addresses: map[netip.AddrPort]catalog.Route{
+			simAddress: {Services: catalog.WeightedServices{{Service: simService, Weight: 1}, {Service: "zinc"}}},
+		}})
+		for i := range maxOtherHosts + 20 {
+			ag := Agent{
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)}), 7000),
+				Service: "alum", Domain: "a", State: register.StateReady, Slots: 8,
+			}
+			if i < 10 {
+				ag.Service = "zinc"
+			}
+			pl.SetAgent(began, ag)
+		}
+		ex := pl.Explain(began, benchFlow(1))
+		So(ex.Hosts, ShouldHaveLength, 4+maxOtherHosts)
+		So(ex.OtherHosts, ShouldEqual, 20)
+		So(ex.Hosts[4].Service, ShouldEqual, "zinc")
+		So(ex.Hosts[14].Service, ShouldEqual, "alum")
+	})
+}
--- a/internal/coordination/carriage/placer_bench_test.go
+++ b/internal/coordination/carriage/placer_bench_test.go
@@ -72,3 +72,19 @@
 		})
 	}
 }
+
+// BenchmarkExplain is the answer to an operator's question, for which the balancer's
+// state is locked.
+func BenchmarkExplain(b *testing.B) {
+	for _, hosts := range []int{50, 1000} {
+		b.Run(fmt.Sprintf("Hosts%d", hosts), func(b *testing.B) {
+			pl := newBenchPlacer(hosts)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if ex := pl.Explain(began, benchFlow(i)); ex.Kind != KindForward {
+					b.Fatal("no host was chosen")
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/carriage/ranking.go
+++ b/internal/coordination/carriage/ranking.go
@@ -19,6 +19,9 @@
 	// skipState is a host that takes no new flows in its state. A draining host
 	// isn't skipped: it takes flows during drainGrace if no other host does.
 	skipState
+
+	// skipReasonCount is the number of reasons.
+	skipReasonCount
 )
 
 // evaluation is the evaluation of one host for one opening.
