--- a/internal/coordination/carriage/explain.go
+++ b/internal/coordination/carriage/explain.go
@@ -176,7 +176,7 @@
 			ho.Reason = ho.passedOver(least)
 		}
 	}
-	slices.SortStableFunc(list, compareHosts)
+	slices.SortFunc(list, compareHosts)
 	return list
 }
 
@@ -198,16 +198,21 @@
 // compareHosts orders the chosen host first, then the others by cost, then the skipped
 // ones by address.
 func compareHosts(a, b HostExplanation) int {
-	if a.Ranked != b.Ranked {
-		if a.Ranked {
-			return -1
-		}
+	return cmp.Or(cmp.Compare(a.group(), b.group()), cmp.Compare(a.Cost, b.Cost), a.Address.Compare(b.Address))
+}
+
+// group returns the place of the host's group in the order of an Explanation. The
+// chosen host has one of its own, as another may have the same cost or one that is no
+// number.
+func (ho *HostExplanation) group() int {
+	switch {
+	case ho.Reason == HostChosen:
+		return 0
+	case ho.Ranked:
 		return 1
+	default:
+		return 2
 	}
-	if a.Ranked {
-		return cmp.Compare(a.Cost, b.Cost)
-	}
-	return a.Address.Compare(b.Address)
 }
 
 // explainOtherHosts adds the hosts of other services, at most maxOtherHosts, those of
--- a/internal/transport/gauge/gauge.go
+++ b/internal/transport/gauge/gauge.go
@@ -1,6 +1,6 @@
 // Package gauge holds the metrics of a process and serves them over HTTP: as JSON
 // at /Metrics and in the Prometheus text format at /metrics. It also serves the
-// readiness of the process at /Ready.
+// readiness of the process at /Ready, and what Handle adds.
 //
 // Histograms hold milliseconds. There is one for each label, such as a service or
 // a traffic class.
@@ -18,6 +18,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 type Registry struct {
 	registry metrics.Registry
 	ready    atomic.Bool
+	// handlers serve further paths of the address.
+	handlers sync.Map
 }
 
 // NewRegistry returns a registry without metrics whose process isn't ready.
@@ -94,6 +97,11 @@
 	hi.Update(elapsed.Milliseconds())
 }
 
+// Handle serves a further path, such as /Explain, beside the metrics.
+func (rg *Registry) Handle(path string, ha http.Handler) {
+	rg.handlers.Store(path, ha)
+}
+
 // ServeHTTP serves the metrics and the readiness. /Ready answers with status 503
 // while the process isn't ready.
 func (rg *Registry) ServeHTTP(wr http.ResponseWriter, re *http.Request) {
@@ -107,6 +115,10 @@
 		wr.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		rg.writeText(wr)
 	default:
+		if ha, ok := rg.handlers.Load(re.URL.Path); ok {
+			ha.(http.Handler).ServeHTTP(wr, re)
+			return
+		}
 		http.NotFound(wr, re)
 	}
 }
--- a/internal/transport/gauge/gauge_test.go
+++ b/internal/transport/gauge/gauge_test.go
@@ -45,5 +45,11 @@
 		convey.Convey("answers other paths with status 404", func() {
 			convey.So(get(rg, "/other").Code, convey.ShouldEqual, http.StatusNotFound)
 		})
+		convey.Convey("serves a path that was added, and no others by it", func() {
+			rg.Handle("/Explain", http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusTeapot) }))
+			convey.So(get(rg, "/Explain").Code, convey.ShouldEqual, http.StatusTeapot)
+			convey.So(get(rg, "/Explain/other").Code, convey.ShouldEqual, http.StatusNotFound)
+			convey.So(get(rg, "/Metrics").Code, convey.ShouldEqual, http.StatusOK)
+		})
 	})
 }
