feat(explain): ask a running balancer where a flow would go, and why

An operator had to find the inputs of a choice in the log of the balancer that made it, and couldn't see why other hosts were passed over. `corneltiller explain` asks a balancer on its metrics address (`GET /Explain?caller=...&address=...`), and prints the answer as a table or as JSON.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -99,6 +99,7 @@
 		capacityCommand(),
 		ctlCommand(),
 		demoCommand(),
+		explainCommand(),
 		platformCommand(),
 		standinCommand(),
 		versionCommand(),
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -16,6 +16,7 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/explain"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
 
@@ -81,6 +82,7 @@
 	no.onMemberRemoved = ba.removeMember
 	no.onRoutes = func(now time.Time, ro *catalog.Routes) { ba.performFlowActions(now, ba.placer.SetRoutes(now, ro)) }
 	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
+	co.Metrics.Handle(explain.Path, explain.Handler(ba.explain))
 	return ba, nil
 }
 
