feat(explain): the own interface explains flows in the same form

EXPLAIN FLOW printed the lines of `route.Explanation`: the hosts of the chain, but not the others or why they are passed over, and no JSON fields. The console asks for the same answer and prints it in the same form. It prints a problem below the table instead of failing the statement, as it did not fail before. A balancer still sends the lines to a console of a former build, and the console prints those of a former balancer.

The end-to-end test expected `Role=Owner` of the former lines. It now expects the owner, the chosen host, and that the explain command names the same host at every balancer.

--- a/internal/protocol/command/status.go
+++ b/internal/protocol/command/status.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"corneltiller.dev/corneltiller/internal/coordination/rollout"
+	"corneltiller.dev/corneltiller/internal/protocol/explanation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -23,6 +24,9 @@
 type FlowQuery struct {
 	Service register.ServiceID
 	Caller  netip.AddrPort
+	// Address is the address that the caller opens the flow to, invalid in the query
+	// of a console of a former build, which reads Path.
+	Address netip.AddrPort
 }
 
 // Status is the answer of a balancer or an agent to a Query.
@@ -41,6 +45,9 @@
 	Suspects []string `cbor:",omitempty"`
 	// Path describes the steps in which a new flow would be routed, one line each.
 	Path []string `cbor:",omitempty"`
+	// Explanation says where a new flow would be sent. Balancers of a former build
+	// leave it out.
+	Explanation *explanation.Answer `cbor:",omitempty"`
 	// Flows is the number of open flows of an agent.
 	Flows int `cbor:",omitempty"`
 	// DatagramsForwarded and DatagramsAnswered count the datagrams that a balancer
--- a/internal/protocol/explanation/chain.go
+++ b/internal/protocol/explanation/chain.go
@@ -53,7 +53,7 @@
 	}
 	an.Service, an.ServiceReason = sv.Name, "the address belongs to it"
 	ex := view.Explain(sv.ID, caller)
-	an.Chain = &Chain{Bucket: ex.Bucket, Hosts: ex.Hosts, Fresh: ex.Fresh, NextChange: ex.NextChange}
+	an.Chain = &Chain{Bucket: ex.Bucket, Hosts: ex.Hosts, Fresh: ex.Fresh, NextChange: ex.NextChange.UTC().Round(0)}
 	an.Reason = "no host of the service is known"
 	if len(ex.Steps) > 0 {
 		an.Outcome, an.Choice, an.Reason = OutcomeSent, &ex.Steps[0].Address, ""
@@ -66,16 +66,15 @@
 // service, then those of other services, at most maxOtherHosts.
 func (an *Answer) addHosts(view *ChainView, sv *catalog.Service, steps []route.Step) {
 	inChain := make(map[netip.AddrPort]bool)
-	loads := make(map[netip.AddrPort]uint16)
-	for _, ho := range view.Hosts {
-		loads[ho.Address] = ho.Load
+	loads := make(map[netip.AddrPort]*uint16)
+	for i := range view.Hosts {
+		loads[view.Hosts[i].Address] = &view.Hosts[i].Load
 	}
 	for i, st := range steps {
 		inChain[st.Address] = true
-		load := loads[st.Address]
 		ho := Host{
 			Address: st.Address, Service: sv.Name, Domain: st.Domain, State: st.State.String(), Role: st.Role.String(),
-			Incarnation: st.Incarnation, Weight: &st.Weight, Load: &load, Reason: reasonLaterInChain,
+			Incarnation: st.Incarnation, Weight: &st.Weight, Load: loads[st.Address], Reason: reasonLaterInChain,
 		}
 		if i == 0 {
 			ho.Reason = "Chosen"
--- a/internal/transport/balancer/balancer.go
+++ b/internal/transport/balancer/balancer.go
@@ -24,6 +24,7 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/explain"
 	"corneltiller.dev/corneltiller/internal/transport/follower"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 	"corneltiller.dev/corneltiller/internal/transport/keys"
@@ -57,8 +58,10 @@
 	pool           *link.Pool
 	follower       *follower.Follower
 	counts         counts
-	abortOnce      sync.Once
-	aborted        chan struct{}
+	// joined says that the balancer's view of the fleet is complete.
+	joined    atomic.Bool
+	abortOnce sync.Once
+	aborted   chan struct{}
 }
 
 // counts holds the counters of the datagram path.
@@ -112,6 +115,7 @@
 	ba.updater = newTableUpdater(ba)
 	ba.updater.fleet.Register(mux)
 	ba.openFollower(mux)
+	cfg.Registry.Handle(explain.Path, explain.Handler(ba.explain))
 	return ba, nil
 }
 
--- a/internal/transport/balancer/configuration.go
+++ b/internal/transport/balancer/configuration.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/coordination/rollout"
-	"corneltiller.dev/corneltiller/internal/coordination/route"
 	"corneltiller.dev/corneltiller/internal/protocol/command"
 	"corneltiller.dev/corneltiller/internal/protocol/message"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -84,12 +82,6 @@
 	})
 }
 
-// explain returns, line by line, how this balancer selects the hosts of a new flow.
-func (ba *Balancer) explain(qu command.FlowQuery) []string {
-	ex := route.Explain(ba.table.Load(), qu.Service, qu.Caller)
-	return strings.Split(strings.TrimSpace(ex.String()), "\n")
-}
-
 // suspects returns a line for each member that this balancer, as one of its
 // watchers, suspects of having failed.
 func (ba *Balancer) suspects() []string {
@@ -113,7 +105,7 @@
 		DatagramsAnswered:  ba.counts.answered.Count(),
 	}
 	if qu.Flow != nil {
-		st.Path = ba.explain(*qu.Flow)
+		ba.explainTo(&st, *qu.Flow)
 	}
 	if qu.Suspects {
 		st.Suspects = ba.suspects()
--- a/internal/transport/balancer/table.go
+++ b/internal/transport/balancer/table.go
@@ -61,6 +61,7 @@
 func (tu *tableUpdater) onJoined() {
 	tu.update()
 	tu.fleet.SetState(register.StateReady)
+	tu.balancer.joined.Store(true)
 	tu.balancer.cfg.Registry.SetReady(true)
 }
 
--- a/internal/transport/console/console_test.go
+++ b/internal/transport/console/console_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 
@@ -16,6 +17,7 @@
 	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/coordination/rollout"
 	"corneltiller.dev/corneltiller/internal/protocol/command"
+	"corneltiller.dev/corneltiller/internal/protocol/explanation"
 	"corneltiller.dev/corneltiller/internal/standin/platform"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/transport/console"
@@ -165,6 +167,56 @@
 	})
 }
 
+// It guards against an explanation in another form than that of the explain command, and
+// against one that is missing because the balancer is of a former build.
+func TestExplainFlow(t *testing.T) {
+	Convey("EXPLAIN FLOW prints the balancer's answer as a table or as JSON", t, func() {
+		_, glenrug, _ := newOperators(t)
+		_, err := glenrug.run("INITIALIZE OWNER " + ownerClause("glenrug") +
+			"; CREATE SERVICE yardline FOR FIRM Glenrug ADDRESS 198.18.0.1:443 HOSTS 10.0.0.0/8")
+		So(err, ShouldBeNil)
+		data, err := os.ReadFile("../../protocol/explanation/testdata/chain.json")
+		So(err, ShouldBeNil)
+		table, err := os.ReadFile("../../protocol/explanation/testdata/chain.txt")
+		So(err, ShouldBeNil)
+		var an explanation.Answer
+		So(json.Unmarshal(data, &an), ShouldBeNil)
+		answer := &an
+		var asked command.FlowQuery
+		glenrug.Fleet.Ask = func(_ context.Context, qu command.Query) (command.Status, error) {
+			asked = *qu.Flow
+			return command.Status{Path: []string{"Service=1", "Role=Owner"}, Explanation: answer}, nil
+		}
+		statement := "EXPLAIN FLOW FROM 100.64.0.25:1047 TO 198.18.0.1:443"
+		text, err := glenrug.run(statement)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, string(table))
+		So(asked.Caller.String(), ShouldEqual, "100.64.0.25:1047")
+		So(asked.Address.String(), ShouldEqual, "198.18.0.1:443")
+
+		Convey("with its problem, if it has one", func() {
+			an.SetProblem(explanation.StaleView, "the view is incomplete")
+			text, err := glenrug.run(statement)
+			So(err, ShouldBeNil)
+			So(text, ShouldEqual, string(table)+"\nnot to be relied on: the view is incomplete\n")
+		})
+		Convey("as one JSON object", func() {
+			glenrug.JSON = true
+			text, err := glenrug.run(statement)
+			So(err, ShouldBeNil)
+			var back explanation.Answer
+			So(json.Unmarshal([]byte(text), &back), ShouldBeNil)
+			So(back, ShouldResemble, an)
+		})
+		Convey("as the lines that a balancer of a former build sends", func() {
+			answer = nil
+			text, err := glenrug.run(statement)
+			So(err, ShouldBeNil)
+			So(text, ShouldEqual, "Service=1\nRole=Owner\n")
+		})
+	})
+}
+
 func TestSettle(t *testing.T) {
 	Convey("A change that may still take effect is told apart from one that can't, and SETTLE CHANGE rules it out", t, func() {
 		se, glenrug, _ := newOperators(t)
--- a/internal/transport/console/explain.go
+++ b/internal/transport/console/explain.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 
 	"github.com/go-faster/errors"
 
 	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/protocol/command"
+	"corneltiller.dev/corneltiller/internal/protocol/explanation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -52,11 +54,30 @@
 	if !ok {
 		return errors.Wrapf(catalog.ErrUnknown, "service address %s", fp.Service[0])
 	}
-	st, err := co.Fleet.Ask(ctx, command.Query{Flow: &command.FlowQuery{Service: sv.ID, Caller: fp.Caller[0]}})
+	st, err := co.Fleet.Ask(ctx, command.Query{Flow: &command.FlowQuery{
+		Service: sv.ID, Caller: fp.Caller[0], Address: fp.Service[0],
+	}})
 	if err != nil {
 		return err
 	}
-	return co.print(&Lines{Lines: st.Path})
+	if st.Explanation == nil {
+		// The balancer is of a former build.
+		return co.print(&Lines{Lines: st.Path})
+	}
+	return co.print(&Explanation{Answer: st.Explanation})
+}
+
+// Explanation says where a balancer would send a new flow, in the form of the explain
+// command.
+type Explanation struct {
+	*explanation.Answer
+}
+
+func (ex *Explanation) writeText(wr io.Writer) {
+	ex.WriteText(wr)
+	if ex.Problem != nil {
+		fmt.Fprintf(wr, "\nnot to be relied on: %s\n", ex.Problem.Text)
+	}
 }
 
 func explainAddress(cfg *catalog.Configuration, st command.Status, address netip.AddrPort) *Lines {
--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"corneltiller.dev/corneltiller/cmd"
+	"corneltiller.dev/corneltiller/internal/protocol/explanation"
 )
 
 // owner is an owner of the configuration with its own key and console settings.
@@ -129,19 +131,48 @@
 		for range 200 {
 			output, code = first.ctl("EXPLAIN FLOW FROM 198.51.100.7:4000 TO " + fl.Fabric.Services[0].String())
 			convey.So(code, convey.ShouldEqual, cmd.ExitOK)
-			if !strings.Contains(output, "Hosts=0") {
+			if !strings.Contains(output, " 0 hosts may own it") {
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		convey.So(output, convey.ShouldContainSubstring, "Role=Owner")
+		convey.So(output, convey.ShouldContainSubstring, "  Owner ")
+		convey.So(output, convey.ShouldContainSubstring, "Chosen")
 		convey.So(output, convey.ShouldContainSubstring, fl.Fabric.Answers.Addr().String())
+		for _, ba := range fl.Balancers {
+			an := fl.explain(ba.Metrics, "198.51.100.7:4000", fl.Fabric.Services[0])
+			convey.So(an.Service, convey.ShouldEqual, "yardline")
+			convey.So(output, convey.ShouldContainSubstring, "sent to "+an.Choice.String()+"\n")
+		}
 		output, code = first.ctl("SHOW SUSPICIONS")
 		convey.So(code, convey.ShouldEqual, cmd.ExitOK)
 		convey.So(output, convey.ShouldContainSubstring, "suspects nobody")
 	})
 }
 
+// explain runs the explain command against a balancer until the answer has a host and
+// no problem, and returns it. The balancer may not have the configuration yet.
+func (fl *fleet) explain(balancer netip.AddrPort, caller string, address netip.AddrPort) explanation.Answer {
+	fl.tb.Helper()
+	var an explanation.Answer
+	var output []byte
+	for range 200 {
+		co := exec.Command(binary, "explain", "--json", "--balancer", balancer.String(), "--caller", caller, "--address", address.String())
+		var err error
+		if output, err = co.Output(); err == nil {
+			if err := json.Unmarshal(output, &an); err != nil {
+				fl.tb.Fatal(err)
+			}
+			if an.Choice != nil {
+				return an
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	fl.tb.Fatalf("balancer %s doesn't explain the flow: %s", balancer, output)
+	return an
+}
+
 // TestServiceContinuesWhilePlatformIsSuspended checks that requests are answered
 // without the platform's store, and that a change which can't be written is not
 // reported as accepted.
