refactor(carriage): a skipped host is never explained as ranked

A skip reason without a name made its hosts look ranked. The explanation now goes by whether the host was ranked. The tests ask in one place whether the balancer places openings at all, so that a further reason to let all wait is added there.

--- a/internal/coordination/carriage/explain.go
+++ b/internal/coordination/carriage/explain.go
@@ -33,8 +33,8 @@
 	// HostCostsTheSame is a candidate of the same cost as the chosen host, which comes
 	// first in the order of the flow.
 	HostCostsTheSame HostReason = "CostsTheSame"
-	// HostNotConsidered is any host that isn't skipped while the balancer refuses all
-	// openings.
+	// HostNotConsidered is any host that isn't skipped while the balancer places no
+	// openings, as it is isolated.
 	HostNotConsidered HostReason = "NotConsidered"
 	// HostOtherService is a host of another service.
 	HostOtherService HostReason = "OtherService"
@@ -195,7 +195,7 @@
 	}
 	for i := range list {
 		switch ho := &list[i]; {
-		case ho.Reason != "":
+		case !ho.Ranked || ho.Reason == HostChosen:
 		case best == nil:
 			ho.Reason = HostNotConsidered
 		default:
--- a/internal/coordination/carriage/explain_test.go
+++ b/internal/coordination/carriage/explain_test.go
@@ -119,6 +119,9 @@
 	return pl, now
 }
 
+// placesOpenings reports whether the placer chooses hosts for openings at all.
+func placesOpenings(pl *Placer, now time.Time) bool { return pl.routes != nil && !pl.isolated(now) }
+
 // It guards against an explanation that differs from what the balancer then does with
 // the opening.
 func TestExplanationAgreesWithChoice(t *testing.T) {
@@ -134,7 +137,7 @@
 			tf := &trackedFlow{flow: flow, service: ex.Service, opened: now, index: -1}
 			chosen := pl.choose(now, tf)
 			switch {
-			case ex.Kind != KindForward && chosen != nil && !pl.isolated(now):
+			case ex.Kind != KindForward && chosen != nil && placesOpenings(pl, now):
 				rt.Fatalf("%s would be chosen, the explanation is %+v", chosen.address, ex)
 			case ex.Kind == KindForward && (chosen == nil || chosen.address != ex.Choice):
 				rt.Fatalf("%+v would be chosen, the explanation is %+v", chosen, ex)
@@ -213,7 +216,7 @@
 			case HostCostsTheSame:
 				fits = ho.Candidate && ho.Cost == ex.Hosts[0].Cost
 			case HostNotConsidered:
-				fits = ex.Reason == ReasonIsolated && ho.Ranked
+				fits = !placesOpenings(pl, now) && ho.Ranked
 			case HostOtherService:
 				fits = ho.Service != ex.Service && !ho.Ranked
 			}
