fix(explain): answer one question at a time

The endpoint made an answer for every request at once, and each one locks the state of the platform's balancer. Packets then waited for the lock behind all of them. The handler now calls the balancer for one request at a time.

--- a/internal/transport/explain/explain.go
+++ b/internal/transport/explain/explain.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -54,14 +55,23 @@
 
 // Handler serves the answers of the function. Each answer is an explanation.Answer as
 // JSON, also if it has a problem, which the HTTP status then tells too.
+//
+// The function is called for one request at a time. It locks the balancer's state, and
+// packets would otherwise wait for that lock behind all questions sent at once.
 func Handler(answer func(caller, address netip.AddrPort) explanation.Answer) http.Handler {
+	var mu sync.Mutex
+	serialized := func(caller, address netip.AddrPort) explanation.Answer {
+		mu.Lock()
+		defer mu.Unlock()
+		return answer(caller, address)
+	}
 	return http.HandlerFunc(func(wr http.ResponseWriter, re *http.Request) {
 		if re.Method != http.MethodGet {
 			wr.Header().Set("Allow", http.MethodGet)
 			http.Error(wr, "only GET is allowed", http.StatusMethodNotAllowed)
 			return
 		}
-		write(wr, answerTo(re.URL.Query(), answer))
+		write(wr, answerTo(re.URL.Query(), serialized))
 	})
 }
 
--- a/internal/transport/explain/explain_test.go
+++ b/internal/transport/explain/explain_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +62,35 @@
 	})
 }
 
+// It guards against many questions at once, which would all contend for the lock of the
+// balancer's state.
+func TestOneQuestionAtATime(t *testing.T) {
+	Convey("The answer to one question is made at a time, and each question is answered", t, func() {
+		var active, most, answered atomic.Int32
+		ha := Handler(func(caller, address netip.AddrPort) explanation.Answer {
+			now := active.Add(1)
+			defer active.Add(-1)
+			for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+			}
+			time.Sleep(5 * time.Millisecond)
+			return answerSent(caller, address)
+		})
+		var asking sync.WaitGroup
+		for range 8 {
+			asking.Go(func() {
+				re := httptest.NewRecorder()
+				ha.ServeHTTP(re, httptest.NewRequest(http.MethodGet, Path+"?caller=1.2.3.4:5&address=1.2.3.4:6", nil))
+				if re.Code == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+		asking.Wait()
+		So(most.Load(), ShouldEqual, 1)
+		So(answered.Load(), ShouldEqual, 8)
+	})
+}
+
 // It guards against a command that hangs, or that takes another server's answer for a
 // balancer's.
 func TestAsk(t *testing.T) {
