test(carriage): check explained inputs, and draw isolated balancers

The cost of each host is now computed again from its explained inputs, and a service whose agents are all silent is drawn in most views.

--- a/internal/coordination/carriage/explain_test.go
+++ b/internal/coordination/carriage/explain_test.go
@@ -1,6 +1,7 @@
 package carriage
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"slices"
@@ -62,11 +63,21 @@
 	return ho
 }
 
+// drawBeyond returns a duration that is as often shorter than the bound as it isn't. Drawn
+// from one range, short durations are far more frequent, and few balancers are isolated.
+func drawBeyond(rt *rapid.T, label string, bound time.Duration) time.Duration {
+	within := time.Duration(rapid.Int64Range(0, int64(bound/time.Millisecond)-1).Draw(rt, label)) * time.Millisecond
+	if rapid.Bool().Draw(rt, label+" beyond") {
+		return bound + within
+	}
+	return within
+}
+
 func drawView(rt *rapid.T) drawnView {
 	vi := drawnView{
-		age:       time.Duration(rapid.IntRange(0, 6000).Draw(rt, "age")) * time.Millisecond,
+		age:       drawBeyond(rt, "age", startupTime),
 		earlier:   time.Duration(rapid.IntRange(0, 150).Draw(rt, "earlier")) * time.Millisecond,
-		silence:   time.Duration(rapid.IntRange(0, 300).Draw(rt, "silence")) * time.Millisecond,
+		silence:   drawBeyond(rt, "silence", isolationTimeout),
 		balancers: rapid.IntRange(0, 3).Draw(rt, "balancers"),
 		openings:  rapid.SampledFrom([]int{0, 0, 0, 1, 5, maxQueued + 10}).Draw(rt, "openings"),
 	}
@@ -78,8 +89,12 @@
 			}},
 		}}
 	}
+	// All agents of a service are silent when a balancer is isolated.
+	silent := rapid.SampledFrom([]string{"", simService, simOtherService, "third"}).Draw(rt, "silentService")
 	for i := range rapid.IntRange(0, 12).Draw(rt, "hosts") {
-		vi.hosts = append(vi.hosts, drawHost(rt, i))
+		ho := drawHost(rt, i)
+		ho.suspect = ho.suspect || ho.agent.Service == silent
+		vi.hosts = append(vi.hosts, ho)
 	}
 	return vi
 }
@@ -184,8 +199,36 @@
 	})
 }
 
-// It guards against a host that is missing in the explanation, or whose reason
-// contradicts its inputs.
+// costOfInputs returns the cost that follows from the inputs of an explained host, for a
+// balancer in domain a.
+func costOfInputs(ho *HostExplanation) float64 {
+	cost := (ho.InProgress + 1) / float64(max(ho.Slots, 1)) * ho.Slowness
+	if ho.State == register.StateWarming {
+		cost *= warmingFactor
+	}
+	if ho.Domain != "a" {
+		cost += remoteCost
+	}
+	if !ho.Candidate {
+		cost += nonCandidateCost
+	}
+	if ho.State == register.StateDraining {
+		cost += drainingCost
+	}
+	return cost
+}
+
+// inputsFit reports whether the inputs of an explained host of the flow's service are
+// those of which its cost is made.
+func inputsFit(ex *Explanation, ho *HostExplanation) bool {
+	if ho.Slowness != 1 && ho.Slowness != float64(ho.ServiceTime)/float64(ex.Median) {
+		return false
+	}
+	return !ho.Ranked || math.Abs(ho.Cost-costOfInputs(ho)) < 1e-9
+}
+
+// It guards against a host that is missing in the explanation, whose reason contradicts
+// its inputs, or whose inputs aren't those of which its cost is made.
 func TestExplanationOfEachHost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		vi := drawView(rt)
@@ -220,7 +263,10 @@
 			case HostOtherService:
 				fits = ho.Service != ex.Service && !ho.Ranked
 			}
-			if !fits || ag.service != ho.Service {
+			if ho.Service == ex.Service && !inputsFit(&ex, &ho) {
+				rt.Fatalf("the inputs don't fit the cost: %+v of %+v", ho, ex)
+			}
+			if !fits || ag.service != ho.Service || ag.reported != ho.Reported {
 				rt.Fatalf("the reason %q doesn't fit: %+v of %+v", ho.Reason, ho, ex)
 			}
 		}
