test(operator): wait until the balancer has the configuration

The test waits while a balancer knows no host. A balancer without the configuration now answers without a line of hosts, on which the wait ended and the test would fail. It waits for a chosen host instead; what it then checks is unchanged.

The failure was not seen; it follows from the code.

--- a/test/operator_test.go
+++ b/test/operator_test.go
@@ -126,12 +126,13 @@
 	fl := startFleet(t)
 	first, _ := fl.configure()
 	convey.Convey("The console names the owner and host of a flow and lists suspicions", t, func() {
-		// A balancer that has just started may answer before it knows any host.
+		// A balancer that has just started may answer before it has the configuration or
+		// knows any host.
 		output, code := "", 0
 		for range 200 {
 			output, code = first.ctl("EXPLAIN FLOW FROM 198.51.100.7:4000 TO " + fl.Fabric.Services[0].String())
 			convey.So(code, convey.ShouldEqual, cmd.ExitOK)
-			if !strings.Contains(output, " 0 hosts may own it") {
+			if strings.Contains(output, "Chosen") {
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
