--- a/internal/protocol/explanation/placement.go
+++ b/internal/protocol/explanation/placement.go
@@ -98,7 +98,7 @@
 }
 
 // finite returns the value, nil if it is infinite or no number, which JSON can't hold.
-// An agent's report may contain such a value.
+// The wire format of reports has no such values, but carriage.Report can hold them.
 func finite(value float64) *float64 {
 	if math.IsNaN(value) || math.IsInf(value, 0) {
 		return nil
