feat: evacuation of a failure domain

Operators had no way to keep new flows away from a domain that is about to lose its power or network: its hosts got openings until they were down.

An object of the kind "evacuations" in the platform's store, named after a failure domain, now evacuates it until the object is removed. The balancers that watch the configuration also watch these objects and send a changed set, with the store's position, to the members (KindEvacuations). Balancers place nothing in an evacuated domain; its agents decline openings as Evacuated, empty their queues and report their hosts as draining, so that a balancer with an old set costs one hop. Open flows stay. Openings that no other domain can take are refused at once as Evacuated. A balancer that has never known a set lets openings wait.

Evacuation is off without the setting EvacuateWithin: no store call and no message is then added. The renderer of review/standin now leaves out sections whose value isn't given.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -61,6 +61,8 @@
 	// suspect says that the agent did not confirm an opening in time and hasn't
 	// been heard since.
 	suspect bool
+	// evacuated says that the agent's failure domain is evacuated.
+	evacuated bool
 	// pings is the number of pings sent since the agent was suspected; index is its
 	// position in the schedule of pings, -1 if it isn't in it.
 	pings    int
@@ -74,7 +76,7 @@
 
 // takesNewFlows reports whether the agent is to get new flows.
 func (ag *agent) takesNewFlows() bool {
-	return !ag.suspect && ag.report.State.TakesNewWork()
+	return !ag.suspect && !ag.evacuated && ag.report.State.TakesNewWork()
 }
 
 // estimate returns the estimated number of requests that the host works on: the
@@ -134,7 +136,7 @@
 // also for a draining host, which takes flows during drainGrace if no other host
 // does.
 func (ag *agent) acceptsOpenings() bool {
-	return ag.takesNewFlows() || !ag.suspect && ag.report.State == register.StateDraining
+	return ag.takesNewFlows() || !ag.suspect && !ag.evacuated && ag.report.State == register.StateDraining
 }
 
 // drainingCost is added to the cost of a draining host. It is far above the cost
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -88,6 +88,8 @@
 	gone          bool
 	agentDraining bool
 	drainStart    time.Time
+	// evacuated says that the failure domain of the agent is evacuated.
+	evacuated bool
 	// lastHeard is when the host last checked in or sent a packet.
 	lastHeard time.Time
 	// unanswered counts the openings delivered since the host was last heard; the
@@ -181,9 +183,9 @@
 // between two requests don't count.
 func (ga *Gate) Idle() bool { return ga.active.Len() == 0 && len(ga.queue.items) == 0 }
 
-// state returns the state of the host to report to balancers, zero while the
-// host is unknown, silent or ejected.
-func (ga *Gate) state(now time.Time) register.State {
+// HostState returns the state of the host, zero while the host is unknown, silent or
+// ejected.
+func (ga *Gate) HostState(now time.Time) register.State {
 	switch {
 	case ga.gone:
 		return register.StateGone
--- a/internal/coordination/carriage/isolation.go
+++ b/internal/coordination/carriage/isolation.go
@@ -52,10 +52,11 @@
 	pl.actions = append(pl.actions, Action{Kind: KindPingBalancers})
 }
 
-// allSilent reports whether all agents of the service are suspected.
+// allSilent reports whether all agents of the service are suspected. Those of evacuated
+// domains don't count: they get no openings, by which their silence would show.
 func (pl *Placer) allSilent(service string) bool {
 	for _, ag := range pl.pools[service] {
-		if !ag.suspect {
+		if !ag.suspect && !ag.evacuated {
 			return false
 		}
 	}
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -8,6 +8,12 @@
 
 // handleOpening delivers, queues or declines an opening packet.
 func (ga *Gate) handleOpening(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
+	if ga.evacuated {
+		// A copy of an opening that the host knows is declined too: its balancer places it
+		// elsewhere or, if the caller's next packet acknowledges this host, searches.
+		ga.decline(fp, data, ReasonEvacuated)
+		return
+	}
 	if hf == nil || hf.stage >= stageTentative || hf.closed || hf.openingSequence != fp.Sequence {
 		if re := ga.declineReason(now, fp); re != ReasonNone {
 			ga.decline(fp, data, re)
@@ -74,7 +80,7 @@
 	}
 	if st := ga.state(now); !st.TakesNewWork() {
 		for _, it := range ga.queue.drain() {
-			ga.decline(it.packet, it.data, ReasonDraining)
+			ga.decline(it.packet, it.data, ga.reasonForEmptyQueue())
 		}
 		return
 	}
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -121,6 +121,9 @@
 	// ReasonIsolated says that the balancer is cut off from the agents of a service
 	// and from most other balancers.
 	ReasonIsolated
+	// ReasonEvacuated says that the failure domain of the host is evacuated, or that the
+	// hosts of the service that are left are in evacuated domains.
+	ReasonEvacuated
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -128,7 +131,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"None", "Busy", "Draining", "HostUnknown", "WrongService", "NoRoute", "HostRefused",
-	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated",
+	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated", "Evacuated",
 }
 
 // String returns the reason's name.
--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -76,7 +76,7 @@
 		pl.park(now, tf)
 		return
 	}
-	pl.refuseOpening(now, tf, ReasonNoHost)
+	pl.refuseOpening(now, tf, pl.reasonNoHost(tf))
 }
 
 // refuseOpening forgets and refuses an opening. If a host may have accepted it, the
@@ -91,14 +91,14 @@
 }
 
 // mayBecomeAvailable reports whether a host of the service may take new flows
-// soon: the balancer has just started or has no routes, or an agent of the
-// service is suspected or has no host that answers.
+// soon: the balancer has just started or lacks routes or evacuations, or an agent of the
+// service whose domain isn't evacuated is suspected or has no host that answers.
 func (pl *Placer) mayBecomeAvailable(now time.Time, service string) bool {
-	if pl.routes == nil || now.Before(pl.startup) {
+	if !pl.informed() || now.Before(pl.startup) {
 		return true
 	}
 	for _, ag := range pl.pools[service] {
-		if ag.suspect || ag.report.State == 0 {
+		if !ag.evacuated && (ag.suspect || ag.report.State == 0) {
 			return true
 		}
 	}
@@ -134,7 +134,7 @@
 // refuseExpired refuses a parked opening whose caller is about to give up.
 func (pl *Placer) refuseExpired(now time.Time, flow Flow) {
 	if tf, ok := pl.flows.get(now, flow); ok && tf.phase == phaseParked {
-		pl.refuseOpening(now, tf, ReasonNoHost)
+		pl.refuseOpening(now, tf, pl.reasonNoHost(tf))
 	}
 }
 
@@ -160,13 +160,14 @@
 	tf.phase = phaseOpening
 	tf.tried = tf.tried[:0]
 	tf.busy = tf.busy[:0]
+	tf.evacuated = nil
 	pl.place(now, tf)
 }
 
 // mayPlace reports whether an opening that waits for the service may be placed.
 // The service is "" for openings that arrived before the routes were known.
 func (pl *Placer) mayPlace(now time.Time, service string) bool {
-	if pl.routes == nil {
+	if !pl.informed() {
 		return false
 	}
 	return service == "" || pl.hasRoom(now, service)
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
@@ -52,7 +53,11 @@
 	// yet.
 	startup time.Time
 	routes  *catalog.Routes
-	parking parking
+	// evacuations are the failure domains whose agents get no openings; awaitsEvacuations
+	// says that none were set and openings wait for them.
+	evacuations       evacuation.Set
+	awaitsEvacuations bool
+	parking           parking
 	isolation
 	agents map[netip.AddrPort]*agent
 	// pools holds the agents of each service, sorted by address.
@@ -75,6 +80,8 @@
 	OpeningTimeout time.Duration
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime time.Duration
+	// AwaitEvacuations makes openings wait until SetEvacuations was called.
+	AwaitEvacuations bool
 }
 
 // NewPlacer returns the Placer of a balancer that starts now.
@@ -85,7 +92,7 @@
 		pools:   make(map[string]pool),
 		medians: make(map[string]medianTime),
 		flows:   newRecent[*trackedFlow](),
-		parking: newParking(st.OpeningTimeout),
+		parking: newParking(st.OpeningTimeout), awaitsEvacuations: st.AwaitEvacuations,
 	}
 }
 
@@ -100,10 +107,10 @@
 	return pl.actions
 }
 
-// Ready reports whether the placer can serve callers: it has routes, knows at
-// least one agent and is not isolated.
+// Ready reports whether the placer can serve callers: it has routes and, unless
+// evacuation is off, the evacuated domains, knows at least one agent and is not isolated.
 func (pl *Placer) Ready(now time.Time) bool {
-	return pl.routes != nil && len(pl.agents) > 0 && !pl.isolated(now)
+	return pl.informed() && len(pl.agents) > 0 && !pl.isolated(now)
 }
 
 // Idle reports whether no opening waits or is unconfirmed, and no search is under way.
@@ -246,6 +253,9 @@
 		pl.place(now, tf)
 	case ReasonFull:
 		pl.refuseOpening(now, tf, why)
+	case ReasonEvacuated:
+		tf.evacuated = append(tf.evacuated, ag.domain)
+		pl.place(now, tf)
 	default:
 		pl.place(now, tf)
 	}
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -41,7 +41,7 @@
 	tf.noteCopy(pk.Copy)
 	pl.flows.put(now, pk.Flow, tf)
 	switch {
-	case pl.routes == nil:
+	case !pl.informed():
 		pl.park(now, tf)
 	case pl.isolated(now):
 		pl.refuseOpening(now, tf, ReasonIsolated)
@@ -113,9 +113,9 @@
 
 // refuse answers an opening packet with a reset. A later copy (copyNumber > 0) is
 // dropped instead, as an earlier one may have been accepted meanwhile, and so is
-// any copy while the routes are unknown.
+// any copy while the routes are unknown, and for want of a host while the evacuations are.
 func (pl *Placer) refuse(flow Flow, copyNumber uint32, re Reason) {
-	if copyNumber > 0 || pl.routes == nil {
+	if copyNumber > 0 || pl.routes == nil || re == ReasonNoHost && !pl.informed() {
 		pl.drop(flow, re, true)
 		return
 	}
--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -54,6 +54,7 @@
 		pl.removeFromPool(ag)
 	}
 	ag.apply(record)
+	ag.evacuated = pl.evacuations.Contains(ag.domain)
 	pl.addToPool(ag)
 	pl.unpark(now)
 	return pl.actions
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -49,6 +49,9 @@
 	unconfirmed bool
 	// established says that a packet after the opening was forwarded.
 	established bool
+	// evacuated are the failure domains whose agents declined the opening because they
+	// are evacuated. It isn't sent there again.
+	evacuated []string
 	// extended says that the deadline of this attempt was extended by
 	// tickDelayGrace.
 	extended bool
@@ -116,6 +119,9 @@
 // be sent there again. Once maxOffers hosts have declined it as busy, it may be
 // sent to them again to be queued.
 func (tf *trackedFlow) hasTried(ag *agent) bool {
+	if slices.Contains(tf.evacuated, ag.domain) {
+		return true
+	}
 	if len(tf.busy) >= maxOffers && slices.Contains(tf.busy, ag.address) {
 		return false
 	}
--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -74,7 +74,7 @@
 // has the same effect.
 func (vi *View) compareVersions(from netip.AddrPort, gr *Greeting) {
 	switch {
-	case gr.Version < vi.version || gr.joins() && gr.Version == vi.version:
+	case gr.Version < vi.version || gr.Joins() && gr.Version == vi.version:
 		vi.sendConfiguration(from)
 	case gr.Version > vi.version && !gr.WantAnswer:
 		vi.send(from, Message{Greeting: vi.greeting(RoleBalancer, true, false)})
--- a/internal/coordination/members/confirmation.go
+++ b/internal/coordination/members/confirmation.go
@@ -55,10 +55,10 @@
 // WatchesStore reports whether a balancer is to watch the store: it is one of the first
 // watchersPerDomain of its failure domain, by address, or nobody has confirmed its
 // configuration for so long that those may have failed, or may not reach the store.
-func (vi *View) WatchesStore(now time.Time) bool { return !now.Before(vi.watchDue()) }
+func (vi *View) WatchesStore(now time.Time) bool { return !now.Before(vi.WatchDue()) }
 
-// watchDue returns from when a balancer is to watch the store, the zero time if always.
-func (vi *View) watchDue() time.Time {
+// WatchDue returns from when a balancer is to watch the store, the zero time if always.
+func (vi *View) WatchDue() time.Time {
 	reserve := vi.watchRank() - watchersPerDomain
 	if reserve < 0 {
 		return time.Time{}
@@ -71,7 +71,7 @@
 // AskConfirmation and WatchesStore again.
 func (vi *View) NextWatchCheck() time.Time {
 	next := vi.nextQuestion()
-	if due := vi.watchDue(); due.Before(next) {
+	if due := vi.WatchDue(); due.Before(next) {
 		return due
 	}
 	return next
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -63,9 +63,9 @@
 	WantView bool
 }
 
-// joins reports whether the sender has just started: others ask for a view only in an
+// Joins reports whether the sender has just started: others ask for a view only in an
 // answer.
-func (gr *Greeting) joins() bool { return gr.WantView && gr.WantAnswer }
+func (gr *Greeting) Joins() bool { return gr.WantView && gr.WantAnswer }
 
 // Page is a part of the sender's view, in Records, or of its configuration. It is
 // encoded by position.
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -55,6 +55,13 @@
 	KindAskConfirmation
 	// KindConfirmation answers KindAskConfirmation.
 	KindConfirmation
+	// KindEvacuations carries a page of the evacuated failure domains.
+	KindEvacuations
+	// KindFindHolders, KindHolders and KindEntriesReviewed are reserved for the messages
+	// that docs/design/recovery-and-load.md gives these values.
+	KindFindHolders
+	KindHolders
+	KindEntriesReviewed
 )
 
 // ErrMalformed means that a message is too short or has an unknown value.
--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -34,6 +34,9 @@
 	StopWithin Duration `min:"1s" max:"1h"`
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime Duration `min:"1s" max:"24h"`
+	// EvacuateWithin is the time after its acknowledgement within which the evacuation
+	// of a failure domain is to be in force. Zero turns evacuation off.
+	EvacuateWithin Duration `min:"0s" max:"1h"`
 }
 
 // CarrierBalancer holds the settings of a balancer that forwards flows on the
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -91,6 +92,9 @@
 		ag.gate.SetRoutes(ro)
 		signal(ag.routesReceived)
 	}
+	no.onEvacuations = func(now time.Time, set evacuation.Set) {
+		ag.performFlowActions(now, ag.gate.SetEvacuated(now, set.Contains(ag.settings.Domain)))
+	}
 	return ag, nil
 }
 
@@ -173,11 +177,12 @@
 	return nil
 }
 
-// Ready reports whether the host takes new flows.
+// Ready reports whether the host could take new flows. It does so also while the failure
+// domain is evacuated: the process and its host are well, and must not be replaced.
 func (ag *Agent) Ready() bool {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
-	return !ag.draining && ag.gate.Report(time.Now()).State.TakesNewWork()
+	return !ag.draining && ag.gate.HostState(time.Now()).TakesNewWork()
 }
 
 // CheckIn handles a check-in of the host. It returns carriage.ErrOtherHost or
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -70,6 +71,7 @@
 	}
 	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
+		AwaitEvacuations: no.evacuations != nil,
 	})}
 	no.onDeadline = func(now time.Time) { ba.performFlowActions(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
@@ -80,6 +82,9 @@
 	no.onMemberChanged = ba.setMember
 	no.onMemberRemoved = ba.removeMember
 	no.onRoutes = func(now time.Time, ro *catalog.Routes) { ba.performFlowActions(now, ba.placer.SetRoutes(now, ro)) }
+	no.onEvacuations = func(now time.Time, set evacuation.Set) {
+		ba.performFlowActions(now, ba.placer.SetEvacuations(now, set))
+	}
 	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
 	return ba, nil
 }
@@ -97,6 +102,9 @@
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
 			gr.Go(func() error { return ba.reviewEntries(work) })
+			if ba.evacuations != nil {
+				gr.Go(func() error { return ba.followEvacuations(work) })
+			}
 		},
 		drain: func(now time.Time) {
 			ba.draining = true
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -83,6 +83,13 @@
 	Record members.Record
 }
 
+// EvacuationChange is the start or the end of the evacuation of a failure domain.
+type EvacuationChange struct {
+	Domain string
+	// Removed says that the domain is no longer evacuated.
+	Removed bool
+}
+
 // Store holds the functions that call the platform's store.
 type Store struct {
 	// ListEntries returns the entries of all processes.
@@ -102,4 +109,11 @@
 	// there was none. ErrRevisionExpired is returned, wrapped, if the store can't
 	// watch from the position.
 	Watch func(ctx context.Context, after Position, deadline time.Time) (*catalog.Routes, Position, error)
+	// Evacuations reads the names of the evacuated failure domains and the store's
+	// position.
+	Evacuations func(ctx context.Context) ([]string, Position, error)
+	// WatchEvacuations waits until the deadline for changes of the evacuations that were
+	// made after the position, and returns them in order with the store's position. The
+	// error wraps ErrRevisionExpired as that of Watch does.
+	WatchEvacuations func(ctx context.Context, after Position, deadline time.Time) ([]EvacuationChange, Position, error)
 }
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -160,7 +160,8 @@
 	}
 	var missing []netip.AddrPort
 	for _, re := range append(no.view.Records(), no.view.Self()) {
-		leaves := re.State == register.StateDraining || re.State == register.StateGone
+		// An agent of an evacuated domain counts as draining and stays.
+		leaves := re.State == register.StateDraining && !no.isEvacuated(re.Domain) || re.State == register.StateGone
 		if !leaves && written[re.Address] != re.Role {
 			missing = append(missing, re.Address)
 		}
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
@@ -53,6 +54,8 @@
 	routes *catalog.Routes
 	// former keeps the services that addresses had before.
 	former *catalog.FormerServices
+	// evacuations is nil if evacuation is off.
+	evacuations *evacuation.Keeper
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
@@ -76,6 +79,8 @@
 	onMemberHeard func(now time.Time, from netip.AddrPort)
 	// onRoutes handles routes that are put in force.
 	onRoutes func(now time.Time, ro *catalog.Routes)
+	// onEvacuations handles a set of evacuated domains that is put in force.
+	onEvacuations func(now time.Time, set evacuation.Set)
 
 	// entryMissing is signaled when the process's own entry may be missing from the
 	// store.
@@ -103,6 +108,9 @@
 		entryMissing:    make(chan struct{}, 1),
 		entriesDoubtful: make(chan struct{}, 1),
 	}
+	if st.EvacuateWithin > 0 {
+		no.evacuations = evacuation.NewKeeper(st.Domain)
+	}
 	no.timer = time.AfterFunc(math.MaxInt64, no.handleTimer)
 	return no, nil
 }
@@ -163,18 +171,25 @@
 	no.wakeAt = time.Time{}
 	no.onDeadline(now)
 	if at := no.view.Deadline(); !now.Before(at) {
-		no.performMemberActions(now, no.view.Tick(now))
+		list := no.view.Tick(now)
+		greeted := no.greetedMembers(list)
+		no.performMemberActions(now, list)
+		no.sendEvacuations(greeted)
 	}
+	no.tickEvacuations(now)
 	no.schedule(now)
 }
 
-// schedule sets the timer to the earlier of the deadlines of the view and of the
-// role, unless it already fires by then. It is called with mu held.
+// schedule sets the timer to the earliest of the deadlines of the view, of the role and
+// of the evacuations, unless it already fires by then. It is called with mu held.
 func (no *node) schedule(now time.Time) {
 	at := no.view.Deadline()
 	if de := no.deadline(); !de.IsZero() && (at.IsZero() || de.Before(at)) {
 		at = de
 	}
+	if de := no.evacuationsDeadline(); !de.IsZero() && (at.IsZero() || de.Before(at)) {
+		at = de
+	}
 	if at.IsZero() || !no.wakeAt.IsZero() && !at.Before(no.wakeAt) {
 		return
 	}
@@ -194,6 +209,9 @@
 		var msg members.Message
 		if msg, err = members.Decode(datagram[1:]); err == nil {
 			no.performMemberActions(now, no.view.Handle(now, from, msg))
+			if gr := msg.Greeting; gr != nil && gr.Joins() && gr.Record.Address == from {
+				no.sendEvacuations([]netip.AddrPort{from})
+			}
 			no.onMemberHeard(now, from)
 		}
 	case waybill.KindAskConfirmation:
@@ -207,6 +225,11 @@
 		if version, ago, err = waybill.DecodeConfirmation(datagram); err == nil {
 			no.performMemberActions(now, no.view.HandleConfirmation(from, version, now.Add(-ago)))
 		}
+	case waybill.KindEvacuations:
+		var pa evacuation.Page
+		if pa, err = waybill.DecodeEvacuations(datagram); err == nil {
+			no.handleEvacuations(now, from, pa)
+		}
 	default:
 		no.onFlowMessage(now, from, datagram)
 	}
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -54,7 +54,7 @@
 }
 
 var (
-	sections     = regexp.MustCompile(`\{\{#(\w+)\}\}.*?\{\{/\w+\}\}`)
+	sections     = regexp.MustCompile(`\{\{#([\w.]+)\}\}(.*?)\{\{/[\w.]+\}\}`)
 	placeholders = regexp.MustCompile(`\{\{([\w.]+)\}\}`)
 )
 
@@ -65,7 +65,18 @@
 		return err
 	}
 	values := pr.settings()
-	out := sections.ReplaceAllString(string(text), "{{$1}}")
+	out := sections.ReplaceAllStringFunc(string(text), func(section string) string {
+		parts := sections.FindStringSubmatch(section)
+		value, given := values[parts[1]]
+		switch {
+		case !given:
+			return ""
+		case parts[1] == "seeds":
+			return value
+		default:
+			return strings.ReplaceAll(parts[2], "{{.}}", value)
+		}
+	})
 	out = placeholders.ReplaceAllStringFunc(out, func(word string) string {
 		return values[strings.Trim(word, "{}")]
 	})
