--- a/internal/coordination/carriage/explain.go
+++ b/internal/coordination/carriage/explain.go
@@ -34,7 +34,7 @@
 	// first in the order of the flow.
 	HostCostsTheSame HostReason = "CostsTheSame"
 	// HostNotConsidered is any host that isn't skipped while the balancer places no
-	// openings, as it is isolated.
+	// openings, as it is isolated or doesn't know yet which domains are evacuated.
 	HostNotConsidered HostReason = "NotConsidered"
 	// HostOtherService is a host of another service.
 	HostOtherService HostReason = "OtherService"
@@ -45,6 +45,7 @@
 	skipTried:     "Tried",
 	skipSuspected: "Suspected",
 	skipState:     "TakesNoFlows",
+	skipEvacuated: "Evacuated",
 }
 
 // HostExplanation is one host with the inputs of its evaluation.
@@ -136,6 +137,10 @@
 // explainOutcome sets what becomes of the opening, as handleOpening and place decide
 // it. It returns the agent that the opening would be sent to, nil if none.
 func (pl *Placer) explainOutcome(now time.Time, ex *Explanation, ra *ranking) *agent {
+	if !pl.informed() {
+		pl.explainParking(now, ex, ra.flow)
+		return nil
+	}
 	if pl.isolated(now) {
 		ex.Kind, ex.Reason = KindReset, ReasonIsolated
 		return nil
@@ -147,7 +152,7 @@
 	case pl.mayBecomeAvailable(now, ex.Service):
 		pl.explainParking(now, ex, ra.flow)
 	default:
-		ex.Kind, ex.Reason = KindReset, ReasonNoHost
+		ex.Kind, ex.Reason = KindReset, pl.reasonNoHost(ra.flow)
 	}
 	return best
 }
--- a/internal/coordination/carriage/explain_test.go
+++ b/internal/coordination/carriage/explain_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -35,6 +36,10 @@
 	age, earlier time.Duration
 	silence      time.Duration
 	balancers    int
+	// evacuation says that evacuation is on; evacuated are the evacuated domains, nil if
+	// they aren't known.
+	evacuation bool
+	evacuated  []string
 	// openings is the number of openings that the balancer has handled before.
 	openings int
 }
@@ -81,6 +86,9 @@
 		balancers: rapid.IntRange(0, 3).Draw(rt, "balancers"),
 		openings:  rapid.SampledFrom([]int{0, 0, 0, 1, 5, maxQueued + 10}).Draw(rt, "openings"),
 	}
+	if vi.evacuation = rapid.Bool().Draw(rt, "evacuation"); vi.evacuation && rapid.IntRange(0, 9).Draw(rt, "known") > 0 {
+		vi.evacuated = rapid.SampledFrom([][]string{{}, {"a"}, {"b"}, {"a", "b"}, {"a", "b", "c"}}).Draw(rt, "evacuated")
+	}
 	if rapid.IntRange(0, 9).Draw(rt, "routes") > 0 {
 		vi.routes = &catalog.Routes{Version: 7, Addresses: map[netip.AddrPort]catalog.Route{
 			simAddress: {Services: catalog.WeightedServices{
@@ -102,8 +110,12 @@
 // placer returns a placer with the view, and the present time.
 func (vi *drawnView) placer() (*Placer, time.Time) {
 	now := began.Add(vi.age)
-	pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout})
+	pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout, AwaitEvacuations: vi.evacuation})
 	pl.SetOtherBalancers(vi.balancers)
+	if vi.evacuated != nil {
+		set, _ := evacuation.NewSet(evacuation.Origin{Revision: 1}, vi.evacuated)
+		pl.SetEvacuations(began, set)
+	}
 	if vi.routes != nil {
 		pl.SetRoutes(began, vi.routes)
 	}
@@ -135,7 +147,7 @@
 }
 
 // placesOpenings reports whether the placer chooses hosts for openings at all.
-func placesOpenings(pl *Placer, now time.Time) bool { return pl.routes != nil && !pl.isolated(now) }
+func placesOpenings(pl *Placer, now time.Time) bool { return pl.informed() && !pl.isolated(now) }
 
 // It guards against an explanation that differs from what the balancer then does with
 // the opening.
@@ -248,6 +260,8 @@
 				fits = i == 0 && ho.Address == ex.Choice && ex.Kind == KindForward && ho.Ranked
 			case "Suspected":
 				fits = ag.suspect && !ho.Ranked
+			case "Evacuated":
+				fits = ag.evacuated && !ag.suspect && !ho.Ranked
 			case "TakesNoFlows":
 				fits = !ho.State.TakesNewWork() && ho.State != register.StateDraining && !ho.Ranked
 			case HostDraining:
--- a/internal/coordination/carriage/ranking.go
+++ b/internal/coordination/carriage/ranking.go
@@ -19,6 +19,8 @@
 	// skipState is a host that takes no new flows in its state. A draining host
 	// isn't skipped: it takes flows during drainGrace if no other host does.
 	skipState
+	// skipEvacuated is a host whose failure domain is evacuated.
+	skipEvacuated
 
 	// skipReasonCount is the number of reasons.
 	skipReasonCount
@@ -79,6 +81,8 @@
 		return skipTried
 	case ag.suspect:
 		return skipSuspected
+	case ag.evacuated:
+		return skipEvacuated
 	case !ag.report.State.TakesNewWork() && ag.report.State != register.StateDraining:
 		return skipState
 	default:
