--- /dev/null
+++ b/internal/coordination/absence/certainty.go
@@ -0,0 +1,66 @@
+package absence
+
+import "time"
+
+// firstSequence is the sequence number of a host's first check-in after its start. It
+// counts attempts, so an agent that receives it was there before the host took a flow.
+const firstSequence = 1
+
+// Certainty follows whether the process of an agent has admitted all flows that its host
+// holds. Start times of host and agent are not compared with each other, because some
+// machines' clocks are off by seconds.
+type Certainty struct {
+	lifetime time.Duration
+	// fromStart says that the host held no flow when the process first heard of it.
+	fromStart bool
+	// firstStart is the start of the host that checked in first, zero before and if the
+	// whole system started for the first time.
+	firstStart time.Time
+	// since is when the process began to know all flows that were opened later.
+	since time.Time
+}
+
+// NewCertainty returns the certainty of an agent that starts now. A flow lasts for the
+// lifetime at most. WholeSystem says that the whole system starts for the first time, so
+// that no host holds a flow.
+func NewCertainty(now time.Time, lifetime time.Duration, wholeSystem bool) Certainty {
+	return Certainty{lifetime: lifetime, fromStart: wholeSystem, since: now}
+}
+
+// Certain reports whether the agent knows all flows that its host may hold: those of the
+// host's present start, or those opened within a flow's lifetime.
+func (ce *Certainty) Certain(now time.Time) bool {
+	return ce.fromStart || now.Sub(ce.since) >= ce.lifetime
+}
+
+// FirstCheckIn notes the first check-in that the process has received. A host takes no
+// flow before its first check-in is acknowledged, unless this process presumed it to be
+// healthy and admitted the flow itself.
+//
+// The check-ins of later starts change nothing: one of another writer can't be told
+// from them, and an agent that has missed flows of a living host must not forget so.
+func (ce *Certainty) FirstCheckIn(startedAt time.Time, sequence uint64) {
+	if !ce.fromStart && sequence == firstSequence {
+		ce.fromStart = true
+		ce.firstStart = startedAt
+	}
+}
+
+// EarlierCheckIn notes a check-in of a host that started at the given time, which the
+// agent refuses as older or takes instead of a later one. If it started before the host
+// that checked in first, that check-in may have been another writer's, and the host is
+// older than the agent.
+func (ce *Certainty) EarlierCheckIn(startedAt time.Time) {
+	if !ce.firstStart.IsZero() && startedAt.Before(ce.firstStart) {
+		ce.fromStart = false
+		ce.firstStart = time.Time{}
+	}
+}
+
+// Dropped notes that the agent has forgotten a flow that its host may still hold. The
+// agent is certain again after a flow's lifetime.
+func (ce *Certainty) Dropped(now time.Time) {
+	ce.fromStart = false
+	ce.firstStart = time.Time{}
+	ce.since = now
+}
--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 )
 
 // Kind is what an Action asks the caller of a Placer or Gate to do.
@@ -19,7 +21,7 @@
 	KindDrop
 	// KindPark only reports that the opening waits for a host to become available.
 	KindPark
-	// KindFind asks the agent To whether its host holds the flow.
+	// KindFind asks the agent To about the flows of Questions.
 	KindFind
 	// KindPing asks the agent To for a report.
 	KindPing
@@ -46,6 +48,9 @@
 	// KindHeld tells the balancer To that the host holds the flow or, unless Sure,
 	// that it possibly does.
 	KindHeld
+	// KindHolders sends the Answers to the Questions of the KindFind action with the
+	// Number to the balancer To.
+	KindHolders
 	// KindAnnounce sends the agent's report to the balancers at once.
 	KindAnnounce
 )
@@ -65,12 +70,23 @@
 	// packets that open no flow.
 	ServiceHash uint32
 	// Acknowledged is the sequence number of the next byte that the caller waits
-	// for. It is set for KindFind, KindHeld and KindDecline, and for KindReset after
-	// ReasonHostLost.
+	// for. It is set for KindHeld and KindDecline, and for KindReset after
+	// ReasonHostLost and ReasonNotHeld.
 	Acknowledged uint32
-	// Possible is set for KindFind if the agent is to answer also if its host only
-	// possibly holds the flow.
-	Possible bool
+	// Number identifies the questions of a KindFind action at the agent To; the answers
+	// have it too. Questions are these, and Answers those of KindHolders, one for each.
+	Number    uint32
+	Questions []Question
+	Answers   []absence.Answer
+	// Batch is set for KindFind if the agent is known to answer batches of questions.
+	// Without it there is one question.
+	Batch bool
+	// Found is set for KindForward if the packet ends a search: the agent has answered
+	// that its host holds the flow.
+	Found bool
+	// Agents is, for a KindReset after ReasonNotHeld, the number of agents that have
+	// proved the flow's absence.
+	Agents int
 	// Sure is set for KindHeld if the host is known to hold the flow.
 	Sure   bool
 	Reason Reason
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -43,6 +43,8 @@
 // agent is what a balancer knows of an agent and its host.
 type agent struct {
 	address netip.AddrPort
+	// number identifies the agent in a proof of absence. It is never given again.
+	number uint32
 	// seed is combined with a flow's hash to rank the agent for the flow.
 	seed uint64
 	// revision is the revision of the record from which service, domain and state
@@ -66,6 +68,7 @@
 	pings    int
 	nextPing time.Time
 	index    int
+	outbox   outbox
 }
 
 func (ag *agent) due() time.Time { return ag.nextPing }
@@ -167,6 +170,7 @@
 // markAlive ends the suspicion of an agent that has been heard, and places
 // openings that wait.
 func (pl *Placer) markAlive(now time.Time, ag *agent) {
+	ag.outbox.noteHeard(now)
 	if ag.suspect {
 		ag.suspect = false
 		pl.silentSince = time.Time{}
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -23,6 +23,7 @@
 	}
 	if ga.known && !ga.presumed && !ga.supersedes(ci) && !ga.outlives(now, ci) {
 		ga.refused, ga.refusedAt = ci, now
+		ga.certainty.EarlierCheckIn(ci.StartedAt)
 		return ga.actions, ErrOldCheckIn
 	}
 	if ga.known && !ga.presumed && !ci.StartedAt.Equal(ga.host.StartedAt) {
@@ -30,6 +31,9 @@
 	}
 	if ga.presumed || !ga.known {
 		ga.hostOlder = ga.hostOlder && !ga.startedTogether(ci)
+		ga.certainty.FirstCheckIn(ci.StartedAt, ci.Sequence)
+	} else {
+		ga.certainty.EarlierCheckIn(ci.StartedAt)
 	}
 	if ci.Draining && !ga.host.Draining && ga.known && !ga.presumed {
 		// drainStart stays zero for a host that was draining before the agent
@@ -57,11 +61,11 @@
 	startSkew = 500 * time.Millisecond
 )
 
-// startedTogether reports whether the host of a first check-in started with the
-// agent or after it, so that it holds no flows: a host takes none before a check-in
-// is acknowledged. A host that is older may hold flows that an earlier agent
+// startedTogether reports whether the host of a first check-in seems to have started
+// with the agent or after it, so that it holds no flows: a host takes none before a
+// check-in is acknowledged. A host that is older may hold flows that an earlier agent
 // process admitted, however few check-ins it has sent. Both start times are
-// readings of the machine's clock.
+// readings of the machine's clock, which may have been set in between.
 func (ga *Gate) startedTogether(ci CheckIn) bool {
 	return ci.Sequence <= freshSequence && !ci.StartedAt.Before(ga.started.Add(-startSkew))
 }
--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -227,6 +227,7 @@
 			ca.accepted = true
 			ca.sent = ca.openingSequence + 1
 			ca.number = pk.Sequence + 1
+			ca.waiting = true
 			si.request(ca, ca.sent, 200*time.Millisecond)
 		}
 		return
@@ -246,6 +247,7 @@
 		si.lateAnswers++
 	}
 	ca.sent += simRequestBytes
+	ca.waiting = false
 	ca.number += uint32(pk.Length)
 	switch {
 	case ca.keepsUntil.IsZero():
@@ -271,6 +273,7 @@
 		return
 	}
 	ca.began = si.now
+	ca.waiting = true
 	si.request(ca, ca.sent, 200*time.Millisecond)
 }
 
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -3,8 +3,10 @@
 import (
 	"container/list"
 	"net/netip"
+	"slices"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -101,8 +103,10 @@
 	ejectedUntil time.Time
 	// resets counts the flows in progress that the host has reset in a row.
 	resets int
-	// hostOlder says that the host may have started before the agent and hold
-	// flows that the agent doesn't know.
+	// certainty tells whether the agent knows all flows of the host.
+	certainty absence.Certainty
+	// hostOlder says that the host has probably started before the agent, as far as start
+	// times and sequence numbers tell. It is no proof, as clocks may be off.
 	hostOlder bool
 	flows     recent[*hostFlow]
 	queue     queue
@@ -147,6 +151,7 @@
 	return &Gate{
 		started: now, heartbeat: st.HeartbeatInterval, lifetime: st.FlowLifetime,
 		service: st.Service, hostAddress: st.HostAddress,
+		certainty: absence.NewCertainty(now, st.FlowLifetime, st.FirstStart),
 		hostOlder: !st.FirstStart, flows: newRecent[*hostFlow](), queue: newQueue(st.OpeningTimeout), nextTick: now,
 	}
 }
@@ -170,6 +175,12 @@
 	return re
 }
 
+// Certain reports whether the agent knows all flows that its host may hold.
+func (ga *Gate) Certain(now time.Time) bool { return ga.certainty.Certain(now) }
+
+// Gone reports whether the host has checked out.
+func (ga *Gate) Gone() bool { return ga.gone }
+
 // Service returns the service of the host, "" while it is unknown.
 func (ga *Gate) Service() string { return ga.host.Service }
 
@@ -295,9 +306,19 @@
 	if ga.routes != nil && ga.routes.IdleTimeout > 0 {
 		idle = min(idle, 2*ga.routes.IdleTimeout)
 	}
-	for _, hf := range ga.flows.expire(now.Add(-idle), maxHostFlows) {
+	expired, above := ga.flows.expire(now.Add(-idle), maxHostFlows)
+	for _, hf := range expired {
 		ga.endProgress(now, hf)
 	}
+	if above > 0 || !ga.discardsAfter(idle) && slices.ContainsFunc(expired, (*hostFlow).mayBeOpen) {
+		ga.certainty.Dropped(now)
+	}
+}
+
+// discardsAfter reports whether a flow without packets for the given time has ended, or
+// may be discarded.
+func (ga *Gate) discardsAfter(idle time.Duration) bool {
+	return idle >= ga.lifetime || ga.routes != nil && ga.routes.IdleTimeout > 0 && idle >= ga.routes.IdleTimeout
 }
 
 // deliver sends a packet to the host.
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 )
 
 // handleUnknownFlow handles a packet of a flow that the agent doesn't know. The
@@ -77,29 +79,64 @@
 	return number-initialSequence <= 1
 }
 
-// HandleFind answers a balancer that searches for the agent of a flow. It returns
-// no action if the host doesn't hold the flow.
+// HandleFind answers a balancer of a former build that searches for the agent of a flow.
+// It returns no action if the host doesn't hold the flow. The question of a balancer that
+// understands numbered answers gets one.
 func (ga *Gate) HandleFind(now time.Time, from netip.AddrPort, fr FindRequest) []Action {
+	if fr.Number != 0 {
+		return ga.HandleFindHolders(now, from, fr.Number, []Question{fr.question()})
+	}
 	ga.actions = ga.actions[:0]
-	hf := ga.flows.peek(fr.Flow)
-	switch {
-	case hf == nil || hf.stage >= stageTentative && !hf.isOf(fr.Acknowledged):
-		if fr.Possible && ga.mayHold(now) && !ga.servedElsewhere(fr.Flow) {
+	switch ga.answer(now, fr.question()) {
+	case absence.Held:
+		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged, Sure: true})
+	case absence.Possible:
+		hf := ga.flows.peek(fr.Flow)
+		if fr.Possible && (hf == nil || hf.stage >= stageTentative && !hf.isOf(fr.Acknowledged)) {
 			ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged})
 		}
-	case hf.isKnownHolder() && hf.isOf(fr.Acknowledged):
-		ga.actions = append(ga.actions, Action{Kind: KindHeld, To: from, Flow: fr.Flow, Acknowledged: fr.Acknowledged, Sure: true})
 	}
 	return ga.actions
 }
 
-// mayHold reports whether the host may hold flows that the agent doesn't know. This is
-// so within one flow lifetime after the agent's start, if the host may have started
-// before the agent.
-func (ga *Gate) mayHold(now time.Time) bool {
-	return ga.hostOlder && now.Sub(ga.started) < ga.lifetime
+// HandleFindHolders answers the questions of a balancer that searches for the agents of
+// flows, one answer for each question.
+func (ga *Gate) HandleFindHolders(now time.Time, from netip.AddrPort, number uint32, list []Question) []Action {
+	ga.actions = ga.actions[:0]
+	answers := make([]absence.Answer, len(list))
+	for i, qu := range list {
+		answers[i] = ga.answer(now, qu)
+	}
+	ga.actions = append(ga.actions, Action{Kind: KindHolders, To: from, Number: number, Questions: list, Answers: answers})
+	return ga.actions
+}
+
+// answer tells whether the host holds the flow of a caller's packet.
+func (ga *Gate) answer(now time.Time, qu Question) absence.Answer {
+	hf := ga.flows.peek(qu.Flow)
+	switch {
+	case hf != nil && hf.isKnownHolder() && hf.isOf(qu.Acknowledged):
+		return absence.Held
+	case ga.gone || hf != nil && hf.hasReturned(qu.Acknowledged):
+		return absence.Absent
+	case hf != nil && hf.mayBecomeOf(qu.Acknowledged):
+		return absence.Possible
+	case !ga.mayHold(now):
+		return absence.Absent
+	case ga.servedElsewhere(qu.Flow) && (ga.hostOlder || ga.routes == nil):
+		return absence.Unknown
+	case ga.servedElsewhere(qu.Flow):
+		return absence.Elsewhere
+	case !ga.hostOlder:
+		return absence.Unlikely
+	default:
+		return absence.Possible
+	}
 }
 
+// mayHold reports whether the host may hold flows that the agent doesn't know.
+func (ga *Gate) mayHold(now time.Time) bool { return !ga.gone && !ga.certainty.Certain(now) }
+
 // servedElsewhere reports whether the flow's address may have belonged only to other
 // services than the host's, for as long as a flow may last. Agents of other services are
 // asked too, by a balancer that doesn't know the present or the former routes.
--- a/internal/coordination/carriage/hostflow.go
+++ b/internal/coordination/carriage/hostflow.go
@@ -70,3 +70,31 @@
 func (hf *hostFlow) isKnownHolder() bool {
 	return hf.stage == stageAccepted || hf.stage == stageOpen || hf.stage == stageLost
 }
+
+// mayBeOpen reports whether the host may still hold the flow.
+func (hf *hostFlow) mayBeOpen() bool {
+	return !hf.closed && (hf.stage == stageAccepted || hf.stage == stageOpen || hf.stage == stageTentative)
+}
+
+// hasReturned reports whether the host itself has returned, or reset, a packet that
+// acknowledges the number. A returned opening tells nothing about an earlier flow between
+// the same addresses, and leaves no number of the host.
+func (hf *hostFlow) hasReturned(acknowledged uint32) bool {
+	return hf.stage == stageNotHeld && hf.exchange.host.known && hf.isOf(acknowledged)
+}
+
+// mayBecomeOf reports whether the host may yet turn out to hold the flow of a packet that
+// acknowledges the number: it hasn't answered the opening or the packet that was
+// delivered, or has accepted a late copy of the opening of a flow that is in use.
+func (hf *hostFlow) mayBecomeOf(acknowledged uint32) bool {
+	switch hf.stage {
+	case stagePending:
+		return true
+	case stageAccepted:
+		return near(acknowledged, hf.initialSequence)
+	case stageTentative:
+		return hf.isOf(acknowledged)
+	default:
+		return false
+	}
+}
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -35,6 +35,9 @@
 	return fl.Caller.String() + ">" + fl.Service.String()
 }
 
+// isIPv4 reports whether both addresses are IPv4 addresses.
+func (fl Flow) isIPv4() bool { return fl.Caller.Addr().Is4() && fl.Service.Addr().Is4() }
+
 // Packet is the decoded header of one packet of a flow.
 type Packet struct {
 	Flow
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
@@ -61,8 +62,20 @@
 	medians map[string]medianTime
 	flows   recent[*trackedFlow]
 	// due holds the flows that have a deadline, pings the suspected agents.
-	due     schedule[*trackedFlow]
-	pings   schedule[*agent]
+	due   schedule[*trackedFlow]
+	pings schedule[*agent]
+	// outboxes holds the agents with collected questions, turns the searches that wait
+	// until budget lets them ask. inquiries is the number of the last message with
+	// questions, agentNumber that of the last agent.
+	outboxes    schedule[*outbox]
+	turns       turns
+	budget      absence.Budget
+	inquiries   uint32
+	agentNumber uint32
+	// listed is when the balancer first read the members' entries, zero before; settled
+	// says that its view is complete since then.
+	listed  time.Time
+	settled bool
 	actions []Action
 }
 
@@ -113,18 +126,19 @@
 
 // Deadline returns when Tick is due, zero if nothing is.
 func (pl *Placer) Deadline() time.Time {
-	first := time.Time{}
+	list := append(make([]time.Time, 0, 5), pl.questionsDue(), pl.settlesAt(), pl.parking.retry)
 	if len(pl.due.items) > 0 {
-		first = pl.due.items[0].due()
+		list = append(list, pl.due.items[0].due())
 	}
 	if len(pl.pings.items) > 0 {
-		if at := pl.pings.items[0].due(); first.IsZero() || at.Before(first) {
+		list = append(list, pl.pings.items[0].due())
+	}
+	first := time.Time{}
+	for _, at := range list {
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
-	if at := pl.parking.retry; !at.IsZero() && (first.IsZero() || at.Before(first)) {
-		first = at
-	}
 	return first
 }
 
@@ -144,14 +158,23 @@
 			}
 			pl.handleConfirmTimeout(now, tf)
 		case phaseSearching:
+			if tf.search.turn >= 0 {
+				pl.endSearch(now, tf)
+				break
+			}
 			pl.nextRound(now, tf)
 		}
 	}
+	pl.settleView(now)
+	pl.serveTurns(now)
+	pl.sendDueInquiries(now)
 	pl.unpark(now)
 	for len(pl.pings.items) > 0 && !now.Before(pl.pings.items[0].nextPing) {
 		pl.ping(now, pl.pings.items[0])
 	}
-	for _, tf := range pl.flows.expire(now.Add(-FlowIdleTimeout), maxFlows) {
+	expired, _ := pl.flows.expire(now.Add(-FlowIdleTimeout), maxFlows)
+	for _, tf := range expired {
+		pl.leaveTurns(tf)
 		pl.clearDeadline(tf)
 	}
 	return pl.actions
@@ -185,6 +208,7 @@
 	switch tf.phase {
 	case phaseSearching:
 		tf.search.buffer(data)
+		tf.search.acknowledged = pk.Acknowledged
 	case phaseLost:
 		switch {
 		case now.Before(tf.search.resumes):
@@ -195,7 +219,8 @@
 			pl.restartSearch(now, tf, pk, data)
 		}
 	default:
-		if tf.agent == nil {
+		if tf.agent == nil || pl.agents[tf.agent.address] != tf.agent {
+			// The agent was removed, and nobody answers at its address.
 			pl.restartSearch(now, tf, pk, data)
 			break
 		}
@@ -229,7 +254,7 @@
 		case tf.phase == phaseSearching:
 			pl.handleSearchDecline(now, tf, from)
 		case (tf.phase == phaseLocated || tf.phase == phaseOpening) && tf.agent == ag:
-			tf.search.exclude(from)
+			tf.excludeAgent(ag)
 			pl.restartSearch(now, tf, pk, data)
 		}
 		return pl.actions
@@ -274,6 +299,7 @@
 
 // forget removes the flow and its deadline.
 func (pl *Placer) forget(tf *trackedFlow) {
+	pl.leaveTurns(tf)
 	pl.clearDeadline(tf)
 	pl.flows.remove(tf.flow)
 }
--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -1,6 +1,7 @@
 package carriage
 
 import (
+	"container/heap"
 	"net/netip"
 	"slices"
 	"time"
@@ -48,11 +49,17 @@
 	}
 	switch {
 	case !ok:
-		ag = &agent{address: record.Address, seed: seedOf(record.Address), index: -1}
+		pl.agentNumber++
+		ag = &agent{address: record.Address, number: pl.agentNumber, seed: seedOf(record.Address), index: -1}
+		ag.outbox = outbox{agent: ag, index: -1}
 		pl.agents[record.Address] = ag
 	case ag.service != record.Service:
 		pl.removeFromPool(ag)
 	}
+	if ag.revision.Incarnation != record.Incarnation {
+		// The agent was restarted, perhaps with another build.
+		ag.outbox.batches, ag.outbox.former = false, false
+	}
 	ag.apply(record)
 	pl.addToPool(ag)
 	pl.unpark(now)
@@ -77,6 +84,9 @@
 		return
 	}
 	pl.stopPings(ag)
+	if ag.outbox.index >= 0 {
+		heap.Remove(&pl.outboxes, ag.outbox.index)
+	}
 	pl.removeFromPool(ag)
 	delete(pl.agents, address)
 }
--- a/internal/coordination/carriage/recent.go
+++ b/internal/coordination/carriage/recent.go
@@ -64,17 +64,20 @@
 }
 
 // expire removes the entries that were last used before the given time, and the
-// least recently used ones above the limit. It returns their values.
-func (re *recent[V]) expire(since time.Time, limit int) []V {
-	var removed []V
+// least recently used ones above the limit. It returns their values and the number of
+// those above the limit.
+func (re *recent[V]) expire(since time.Time, limit int) (removed []V, above int) {
 	for el := re.order.Front(); el != nil; el = re.order.Front() {
 		en := el.Value.(*recentEntry[V])
 		if !en.at.Before(since) && re.order.Len() <= limit {
 			break
 		}
+		if !en.at.Before(since) {
+			above++
+		}
 		re.order.Remove(el)
 		delete(re.entries, en.flow)
 		removed = append(removed, en.value)
 	}
-	return removed
+	return removed, above
 }
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -4,16 +4,20 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 const (
 	// candidateWait is how long a search waits for the answers of the flow's
-	// candidates before it asks all agents.
-	candidateWait = 6 * time.Millisecond
+	// candidates before it asks all agents. It contains the time for which questions are
+	// collected. The search goes on earlier when all have answered.
+	candidateWait = questionInterval + 6*time.Millisecond
 	// localAgentsWait is how long a search waits for the answers of the agents of the
 	// balancer's own failure domain, allAgentsWait for those of all.
-	localAgentsWait = 10 * time.Millisecond
-	allAgentsWait   = 20 * time.Millisecond
+	localAgentsWait = questionInterval + 10*time.Millisecond
+	allAgentsWait   = questionInterval + 20*time.Millisecond
 	// tentativeWait is how long a search waits after the packet was sent to a host
 	// that possibly holds the flow. A host that doesn't hold it returns the packet at
 	// once; one that does may stay silent until it answers the request.
@@ -22,20 +26,33 @@
 	// first one after that starts another search, which passes over the hosts that
 	// declined the flow's packets before.
 	lostPause = 100 * time.Millisecond
-	// possibleInterval is the least time between two searches for one flow that ask
-	// all agents for hosts that possibly hold it.
-	possibleInterval = 2 * time.Second
-	// maxTentative is the number of hosts that a search sends the packet to without
-	// knowing that they hold the flow, maxTentativeCandidates that before all agents
-	// were asked.
-	maxTentative           = 8
+	// maxTentativeSearches is the number of searches for one flow that may send its packet
+	// to hosts within tentativeInterval before all agents have answered. Three packets of
+	// an open flow at other hosts within 2 s, and none at its own, break the flow.
+	maxTentativeSearches = 2
+	tentativeInterval    = 2200 * time.Millisecond
+	// maxTentativeCandidates is the number of candidates that such a search sends the
+	// packet to, unless all candidates have answered.
 	maxTentativeCandidates = 2
+	// possibleInterval is how long an agent that possibly holds the flow isn't asked again.
+	// After a restart of many agents these are so many that their answers, to each copy of
+	// each packet, would be most of the traffic.
+	possibleInterval = 2 * time.Second
+	// maxTentative is the number of hosts that a search sends the packet to after all
+	// agents have answered, as one of those then holds the flow. maxUnlikely is the
+	// number for hosts that are unlikely to hold it: after a loss of power these are up
+	// to half of all, and each returns the packet within a few milliseconds.
+	maxTentative = 8
+	maxUnlikely  = 64
 	// maxBuffered bounds the packets that are buffered for one search: as many as
 	// a caller has in flight at once.
 	maxBuffered = 16
 	// maxSearches is the number of flows with a deadline, searches included, from
 	// which on no search for an unknown flow is started.
 	maxSearches = 1024
+	// viewSettled is how long after its list of the members' entries a balancer's view
+	// is complete: a process whose entry was just being written has greeted it by then.
+	viewSettled = time.Second
 )
 
 // round is a step of a search. The rounds follow each other until the flow is
@@ -49,42 +66,39 @@
 	// roundTryCandidates sends the packet to some of the candidates that possibly hold
 	// the flow, one after the other.
 	roundTryCandidates
-	// roundLocal asks all agents of the service in the balancer's own failure domain
-	// whether their hosts hold the flow, and in a repeated search also whether they
-	// possibly do. Most flows are there, and a balancer with a slow network could not
-	// ask everyone about each flow after a change of the fabric's choice.
+	// roundLocal asks all agents of the service in the balancer's own failure domain.
+	// Most flows are there.
 	roundLocal
 	// roundRemote asks the agents of the other failure domains.
 	roundRemote
 	// roundOtherServices asks the agents of all other services, while the balancer runs for
 	// less than a flow's lifetime: it may not know a service that the flow's address had
-	// before its start. Agents claim a flow only if their host holds it, or if they know
-	// that the address belonged to their service.
+	// before its start.
 	roundOtherServices
-	// roundTryOtherCandidates sends the packet to the rest of the candidates that
-	// possibly hold the flow.
-	roundTryOtherCandidates
-	// roundAllPossible asks all agents whose hosts possibly hold the flow, if a candidate
-	// possibly does: after a restart of many agents these are so many that they are asked
-	// last and seldom.
-	roundAllPossible
-	// roundTryAll sends the packet to those.
+	// roundTryAll sends the packet to the hosts that possibly hold the flow, and then to
+	// those that are unlikely to.
 	roundTryAll
+	// roundConfirm asks the agents again that declined the packet: those whose hosts
+	// have returned it now know that they don't hold the flow.
+	roundConfirm
 )
 
 // tries reports whether the round sends the packet to one host after the other.
-func (ro round) tries() bool {
-	return ro == roundTryCandidates || ro == roundTryOtherCandidates || ro == roundTryAll
-}
+func (ro round) tries() bool { return ro == roundTryCandidates || ro == roundTryAll }
 
-// FindRequest asks an agent whether its host holds a flow.
+// FindRequest is a question to an agent that isn't known to take batches. An agent of a
+// former build answers it only if its host holds the flow or, if Possible is set, possibly
+// does.
 type FindRequest struct {
-	Flow Flow
-	// Acknowledged is the sequence number of the next byte that the caller waits for.
+	Flow         Flow
 	Acknowledged uint32
-	// Possible says that the agent is to answer also if its host only possibly holds
-	// the flow.
-	Possible bool
+	Possible     bool
+	// Number is not zero if the balancer understands answers with it.
+	Number uint32
+}
+
+func (fr FindRequest) question() Question {
+	return Question{Flow: fr.Flow, Acknowledged: fr.Acknowledged}
 }
 
 // search is the state of a search for the agent of a flow.
@@ -92,23 +106,36 @@
 	round        round
 	acknowledged uint32
 	buffered     [][]byte
-	// possible are the agents whose hosts possibly hold the flow; excluded are
-	// those that declined its packets.
-	possible []netip.AddrPort
-	excluded []netip.AddrPort
+	// absent are the agents that have said that their hosts don't hold the flow. It is
+	// kept from one search for the flow to the next.
+	absent absence.Proof
+	// answered are the agents that have answered in this search; awaited are those whose
+	// answers the round waits for.
+	answered, awaited absence.Proof
+	// askedAll are the agents that were asked after the candidates, in slices.
+	askedAll absence.Proof
+	// possible and unlikely are the agents whose hosts may hold the flow; excluded are
+	// those that declined its packets, declined those of them since the last question.
+	possible, unlikely []*agent
+	excluded, declined []*agent
 	// tentative is the number of hosts that the packet was sent to; trying is the
-	// agent of the last one.
+	// agent of the last one. tried are the times of the last searches that have sent one.
 	tentative int
 	trying    netip.AddrPort
-	// doubted says that an agent possibly holds the flow, repeated that the last search
-	// didn't find it.
-	doubted, repeated bool
-	// withPossible says that roundLocal and roundRemote ask for possible holders too.
-	withPossible bool
-	// resumes is, in phaseLost, the time from which a packet starts another search;
-	// askPossible is when roundAllPossible may come next.
-	// askOthers is the same for roundOtherServices.
-	resumes, askPossible, askOthers time.Time
+	tried     [maxTentativeSearches]time.Time
+	// possibleUntil is until when the lists possible and unlikely are kept for the next
+	// search.
+	possibleUntil time.Time
+	// asked is the number of questions of all searches for the flow. turn is the position
+	// among the searches that wait since waitsSince for their turn to ask, -1 if it isn't
+	// there.
+	asked      int
+	turn       int
+	waitsSince time.Time
+	// begunAnew says that the candidates were asked again after the search had waited.
+	begunAnew bool
+	// resumes is, in phaseLost, the time from which a packet starts another search.
+	resumes time.Time
 }
 
 // buffer stores a copy of a packet until the flow is found. Above maxBuffered
@@ -119,35 +146,77 @@
 	}
 }
 
-// exclude notes that the agent's host doesn't hold the flow.
-func (se *search) exclude(address netip.AddrPort) {
-	if !slices.Contains(se.excluded, address) {
-		se.excluded = append(se.excluded, address)
+// exclude notes that the agent declined a packet of the flow.
+func (se *search) exclude(ag *agent) {
+	if ag == nil {
+		return
+	}
+	if !slices.Contains(se.excluded, ag) {
+		se.excluded = append(se.excluded, ag)
+	}
+	if !slices.Contains(se.declined, ag) {
+		se.declined = append(se.declined, ag)
+	}
+}
+
+// setAnswer keeps the agent in the list of those that have given the answer.
+func (se *search) setAnswer(ag *agent, an absence.Answer) {
+	is := func(other *agent) bool { return other == ag }
+	if se.round == roundConfirm {
+		// Unless it is Absent now, it wasn't the host that declined the packet.
+		se.excluded = slices.DeleteFunc(se.excluded, is)
+	}
+	se.possible = slices.DeleteFunc(se.possible, is)
+	se.unlikely = slices.DeleteFunc(se.unlikely, is)
+	switch an {
+	case absence.Absent:
+		se.absent.Add(ag.number)
+	case absence.Possible:
+		se.possible = append(se.possible, ag)
+	case absence.Unlikely:
+		se.unlikely = append(se.unlikely, ag)
 	}
 }
 
-// mayAskPossible reports whether all agents may be asked for possible holders now. If
-// so, they may not for possibleInterval.
-func (se *search) mayAskPossible(now time.Time) bool { return postpone(now, &se.askPossible) }
+// keepPossible takes over the agents whose hosts possibly hold the flow, and haven't been
+// sent its packet, from an earlier search.
+func (se *search) keepPossible(former *search) {
+	se.possible, se.unlikely, se.possibleUntil = former.possible, former.unlikely, former.possibleUntil
+	for _, ag := range append(slices.Clone(se.possible), se.unlikely...) {
+		se.answered.Add(ag.number)
+	}
+}
 
-// mayAskOthers reports the same for the agents of other services.
-func (se *search) mayAskOthers(now time.Time) bool { return postpone(now, &se.askOthers) }
+// limit returns how many hosts the search may send the packet to. Complete says that all
+// agents have answered which possibly hold the flow.
+func (se *search) limit(now time.Time, complete bool) int {
+	switch {
+	case complete:
+		return maxTentative
+	case se.tentative == 0 && now.Sub(se.tried[0]) < tentativeInterval:
+		return 0
+	case se.awaited.Len() > 0:
+		return maxTentativeCandidates
+	default:
+		return localCandidates + remoteCandidates
+	}
+}
 
-// postpone reports whether the time has come, and then moves it to possibleInterval from
-// now.
-func postpone(now time.Time, at *time.Time) bool {
-	if now.Before(*at) {
-		return false
+// noteTry notes that the packet is sent to the agent's host.
+func (se *search) noteTry(now time.Time, ag *agent) {
+	if se.tentative == 0 {
+		copy(se.tried[:], se.tried[1:])
+		se.tried[len(se.tried)-1] = now
 	}
-	*at = now.Add(possibleInterval)
-	return true
+	se.tentative++
+	se.trying = ag.address
 }
 
 // handleSearchDecline handles a packet that an agent declined during a search. If
 // the search waits for that agent it goes on.
 func (pl *Placer) handleSearchDecline(now time.Time, tf *trackedFlow, from netip.AddrPort) {
-	tf.search.exclude(from)
-	if tf.search.trying == from {
+	tf.search.exclude(pl.agents[from])
+	if tf.search.round.tries() && tf.search.trying == from {
 		pl.clearDeadline(tf)
 		pl.nextRound(now, tf)
 	}
@@ -165,12 +234,20 @@
 	pl.restartSearch(now, tf, pk, data)
 }
 
-// restartSearch searches from the first round for the agent of a tracked flow.
+// restartSearch searches from the first round for the agent of a tracked flow. What
+// agents have said about another flow between the same addresses is forgotten.
 func (pl *Placer) restartSearch(now time.Time, tf *trackedFlow, pk Packet, data []byte) {
-	tf.search = search{
-		acknowledged: pk.Acknowledged, excluded: tf.search.excluded, askPossible: tf.search.askPossible,
-		askOthers: tf.search.askOthers, repeated: tf.phase == phaseLost,
+	former := tf.search
+	pl.leaveTurns(tf)
+	tf.search = &search{turn: -1}
+	if se := tf.search; former != nil && (former.acknowledged == 0 || near(former.acknowledged, pk.Acknowledged)) {
+		se.absent, se.excluded, se.tried, se.asked = former.absent, former.excluded, former.tried, former.asked
+		se.declined = former.declined
+		if now.Before(former.possibleUntil) {
+			se.keepPossible(former)
+		}
 	}
+	tf.search.acknowledged = pk.Acknowledged
 	tf.phase = phaseSearching
 	tf.agent = nil
 	tf.search.buffer(data)
@@ -180,82 +257,207 @@
 // nextRound starts the next round of a search, or the next attempt of a round that
 // sends the packet to one host after the other.
 func (pl *Placer) nextRound(now time.Time, tf *trackedFlow) {
-	se := &tf.search
-	if !se.round.tries() {
+	se := tf.search
+	if se.round == 0 || se.round == roundCandidates || se.round == roundConfirm {
 		se.round++
 	}
-	for ; se.round <= roundTryAll; se.round++ {
-		if wait := pl.startRound(now, tf); wait > 0 {
-			pl.setDeadline(tf, now.Add(wait))
+	for ; se.round <= roundConfirm; se.round++ {
+		if pl.startRound(now, tf) {
 			return
 		}
 	}
+	pl.endSearch(now, tf)
+}
+
+// endSearch ends a search that hasn't found the flow. The caller is reset if all agents
+// have proved that no host holds the flow; otherwise the packets are dropped.
+func (pl *Placer) endSearch(now time.Time, tf *trackedFlow) {
+	pl.leaveTurns(tf)
+	if pl.resetIfAbsent(now, tf) {
+		return
+	}
+	se := tf.search
 	tf.phase = phaseLost
-	tf.search = search{
-		excluded: se.excluded, askPossible: se.askPossible, askOthers: se.askOthers, resumes: now.Add(lostPause),
+	tf.search = &search{
+		acknowledged: se.acknowledged, absent: se.absent, excluded: se.excluded, declined: se.declined,
+		tried: se.tried, asked: se.asked, turn: -1, resumes: now.Add(lostPause),
 	}
+	tf.search.keepPossible(se)
 	pl.drop(tf.flow, ReasonNotFound, false)
 }
 
-// startRound starts the round that the search has come to and returns how long to
-// wait for its result, zero if there is nothing to do in it.
-func (pl *Placer) startRound(now time.Time, tf *trackedFlow) time.Duration {
-	se := &tf.search
+// startRound starts the round that the search has come to. It reports false if there is
+// nothing to do in it.
+func (pl *Placer) startRound(now time.Time, tf *trackedFlow) bool {
+	if tf.search.round.tries() {
+		return pl.tryNext(now, tf)
+	}
+	list := pl.toAsk(now, tf)
+	if len(list) == 0 {
+		return false
+	}
+	if pl.mayAsk(now, tf) {
+		pl.askAll(now, tf, list)
+		pl.awaitAnswers(now, tf)
+	}
+	return true
+}
+
+// toAsk returns the agents that the round asks: those that may hold the flow and haven't
+// answered in this search, or said before that their hosts don't hold it.
+func (pl *Placer) toAsk(now time.Time, tf *trackedFlow) []*agent {
+	se := tf.search
+	var list []*agent
 	switch se.round {
 	case roundCandidates:
-		if pl.ask(tf, pl.candidateAgents(tf.flow), true) > 0 {
-			return candidateWait
-		}
+		list = pl.candidateAgents(tf.flow)
 	case roundLocal:
-		se.withPossible = se.repeated && se.mayAskPossible(now)
-		local, _ := pl.possibleAgents(tf.flow)
-		if pl.ask(tf, local, se.withPossible) > 0 {
-			return localAgentsWait
-		}
+		list, _ = pl.possibleAgents(tf.flow)
 	case roundRemote:
-		_, remote := pl.possibleAgents(tf.flow)
-		if pl.ask(tf, remote, se.withPossible) > 0 {
-			return allAgentsWait
-		}
+		_, list = pl.possibleAgents(tf.flow)
 	case roundOtherServices:
-		if others := pl.agentsOfOtherServices(now, tf.flow); len(others) > 0 && se.mayAskOthers(now) {
-			pl.ask(tf, others, true)
-			return allAgentsWait
+		list = pl.agentsOfOtherServices(now, tf.flow)
+	case roundConfirm:
+		list = slices.Clone(se.declined)
+	}
+	list = slices.DeleteFunc(list, func(ag *agent) bool {
+		done := se.answered.Has(ag.number) || se.round != roundCandidates && se.askedAll.Has(ag.number)
+		return done && se.round != roundConfirm || se.absent.Has(ag.number) || pl.agents[ag.address] != ag
+	})
+	return list[:min(len(list), maxAskedAtOnce)]
+}
+
+// askAll asks each of the agents.
+func (pl *Placer) askAll(now time.Time, tf *trackedFlow, list []*agent) {
+	se := tf.search
+	se.asked += len(list)
+	if se.possibleUntil.IsZero() {
+		se.possibleUntil = now.Add(possibleInterval)
+	}
+	se.awaited.Clear()
+	if se.round == roundConfirm {
+		se.declined = nil
+	}
+	for _, ag := range list {
+		if ag.report.State != register.StateGone {
+			se.awaited.Add(ag.number)
 		}
-	case roundAllPossible:
-		if !se.doubted || !se.mayAskPossible(now) {
-			break
+		if se.round != roundCandidates {
+			se.askedAll.Add(ag.number)
 		}
-		local, remote := pl.possibleAgents(tf.flow)
-		if pl.ask(tf, local, true)+pl.ask(tf, remote, true) > 0 {
-			return allAgentsWait
+		pl.sendQuestion(now, tf, ag)
+	}
+}
+
+// awaitAnswers sets how long the round waits for the answers.
+func (pl *Placer) awaitAnswers(now time.Time, tf *trackedFlow) {
+	wait := allAgentsWait
+	switch tf.search.round {
+	case roundCandidates:
+		wait = candidateWait
+	case roundLocal:
+		wait = localAgentsWait
+	}
+	pl.setDeadline(tf, now.Add(wait))
+}
+
+// tryNext sends the packet to the next host that possibly holds the flow. It reports
+// false if there is none.
+func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
+	se := tf.search
+	var ag *agent
+	complete := se.round == roundTryAll && pl.allAnswered(now, tf)
+	if se.tentative < se.limit(now, complete) {
+		ag = pl.nextPossible(se, &se.possible)
+	}
+	if ag == nil && len(se.possible) == 0 && complete && se.tentative < maxUnlikely {
+		ag = pl.nextPossible(se, &se.unlikely)
+	}
+	if ag == nil {
+		return false
+	}
+	se.noteTry(now, ag)
+	pl.budget.Charge(now, datagramBytes+len(se.buffered[0]))
+	pl.forward(ag, tf.flow, se.buffered[0], Action{Mode: DeliverTentatively})
+	pl.setDeadline(tf, now.Add(tentativeWait))
+	return true
+}
+
+// allAnswered reports whether all agents that may hold the flow and aren't silent have
+// answered. An agent that doesn't take batches is of a former build and answers only if
+// its host may hold the flow.
+func (pl *Placer) allAnswered(now time.Time, tf *trackedFlow) bool {
+	for _, ag := range pl.mayHold(now, tf.flow) {
+		se := tf.search
+		if ag.outbox.batches && !ag.suspect && ag.report.State != register.StateGone && !se.absent.Has(ag.number) && !se.answered.Has(ag.number) {
+			return false
 		}
-	default:
-		if se.tentative >= maxTentative || se.round == roundTryCandidates && se.tentative >= maxTentativeCandidates {
-			break
+	}
+	return true
+}
+
+// resetIfAbsent resets the caller if it is proved that no host holds the flow, and
+// forgets the flow.
+func (pl *Placer) resetIfAbsent(now time.Time, tf *trackedFlow) bool {
+	list := pl.mayHold(now, tf.flow)
+	if !pl.viewComplete(now) || len(list) == 0 {
+		return false
+	}
+	for _, ag := range list {
+		if !tf.search.absent.Has(ag.number) && ag.report.State != register.StateGone {
+			return false
 		}
-		ag := pl.nextPossible(tf)
-		if ag == nil {
-			break
+	}
+	pl.actions = append(pl.actions, Action{
+		Kind: KindReset, Flow: tf.flow, Reason: ReasonNotHeld, Acknowledged: tf.search.acknowledged, Agents: len(list),
+	})
+	pl.forget(tf)
+	return true
+}
+
+// MembersListed notes that the balancer has itself read the members' entries from the
+// store.
+func (pl *Placer) MembersListed(now time.Time) {
+	if pl.listed.IsZero() {
+		pl.listed = now
+	}
+}
+
+// settleView resets, once the view is complete, the callers of flows whose absence was
+// proved before.
+func (pl *Placer) settleView(now time.Time) {
+	if pl.settled || !pl.viewComplete(now) {
+		return
+	}
+	pl.settled = true
+	for el := pl.flows.order.Front(); el != nil; {
+		next := el.Next()
+		if tf := el.Value.(*recentEntry[*trackedFlow]).value; tf.phase == phaseLost {
+			pl.resetIfAbsent(now, tf)
 		}
-		se.tentative++
-		se.trying = ag.address
-		pl.forward(ag, tf.flow, se.buffered[0], Action{Mode: DeliverTentatively})
-		return tentativeWait
+		el = next
 	}
-	return 0
 }
 
-// ask asks each of the agents and returns their number. Agents that have declined
-// the flow's packets are asked only whether their hosts hold the flow.
-func (pl *Placer) ask(tf *trackedFlow, list []*agent, possible bool) int {
-	for _, ag := range list {
-		pl.actions = append(pl.actions, Action{
-			Kind: KindFind, To: ag.address, Flow: tf.flow, Acknowledged: tf.search.acknowledged,
-			Possible: possible && !slices.Contains(tf.search.excluded, ag.address),
-		})
+// settlesAt returns when the view will be complete, zero if it is or no list was read.
+func (pl *Placer) settlesAt() time.Time {
+	if pl.settled || pl.listed.IsZero() || pl.routes == nil {
+		return time.Time{}
 	}
-	return len(list)
+	return pl.listed.Add(viewSettled)
+}
+
+// viewComplete reports whether the balancer knows all agents that may have hosts with
+// flows.
+func (pl *Placer) viewComplete(now time.Time) bool {
+	return !pl.listed.IsZero() && now.Sub(pl.listed) >= viewSettled && pl.routes != nil
+}
+
+// mayHold returns the agents whose hosts may hold the flow, as far as the balancer knows
+// without their answers.
+func (pl *Placer) mayHold(now time.Time, flow Flow) []*agent {
+	local, remote := pl.possibleAgents(flow)
+	return append(append(local, remote...), pl.agentsOfOtherServices(now, flow)...)
 }
 
 // candidateAgents returns the flow's candidates of all services of its address.
@@ -272,8 +474,8 @@
 }
 
 // possibleAgents returns the agents whose hosts may hold the flow, those of the
-// balancer's own failure domain apart: the agents of the services of its address, or
-// all agents if none is known for the address.
+// balancer's own failure domain apart: the agents of the services of its address and those
+// whose service isn't known yet, or all agents if none is known for the address.
 func (pl *Placer) possibleAgents(flow Flow) (local, remote []*agent) {
 	var list []*agent
 	if pl.routes != nil {
@@ -286,6 +488,9 @@
 			list = append(list, pool...)
 		}
 		slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+	} else {
+		// An agent that has just started doesn't know its host's service.
+		list = append(list, pl.pools[""]...)
 	}
 	for _, ag := range list {
 		if ag.domain == pl.domain {
@@ -298,8 +503,8 @@
 }
 
 // agentsOfOtherServices returns the agents of the services that the flow's address is not
-// known to have had. It returns none once the balancer has run for a flow's lifetime, as
-// it then knows them all.
+// known to have had, while the balancer runs for less than a flow's lifetime. It returns
+// none if the address has no route, as possibleAgents returns all then.
 func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
 	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime {
 		return nil
@@ -310,7 +515,7 @@
 	}
 	var list []*agent
 	for service, pool := range pl.pools {
-		if !ro.Services.Names(service) {
+		if service != "" && !ro.Services.Names(service) {
 			list = append(list, pool...)
 		}
 	}
@@ -318,42 +523,87 @@
 	return list
 }
 
-// nextPossible removes and returns the next agent whose host possibly holds the
-// flow and that wasn't excluded, nil if none is left.
-func (pl *Placer) nextPossible(tf *trackedFlow) *agent {
-	for len(tf.search.possible) > 0 {
-		address := tf.search.possible[0]
-		tf.search.possible = tf.search.possible[1:]
-		if ag, ok := pl.agents[address]; ok && !slices.Contains(tf.search.excluded, address) {
+// nextPossible removes and returns the next agent of the list whose host didn't decline
+// the flow's packets, nil if none is left.
+func (pl *Placer) nextPossible(se *search, list *[]*agent) *agent {
+	for len(*list) > 0 {
+		ag := (*list)[0]
+		*list = (*list)[1:]
+		if pl.agents[ag.address] == ag && !slices.Contains(se.excluded, ag) {
 			return ag
 		}
 	}
 	return nil
 }
 
-// HandleFindAnswer handles an agent's answer to a find message: its host holds
+// HandleFindAnswer handles an answer of an agent of a former build: its host holds
 // the flow or, unless sure, possibly holds it.
 func (pl *Placer) HandleFindAnswer(now time.Time, from netip.AddrPort, flow Flow, sure bool) []Action {
 	pl.actions = pl.actions[:0]
 	ag, known := pl.agents[from]
 	tf, ok := pl.flows.get(now, flow)
-	if !ok || !known || tf.phase != phaseSearching && tf.phase != phaseLost {
+	if !ok || !known || tf.search == nil {
 		return pl.actions
 	}
-	if !sure {
-		tf.search.doubted = true
-		if !slices.Contains(tf.search.possible, from) {
-			tf.search.possible = append(tf.search.possible, from)
-		}
-		return pl.actions
+	if sure {
+		pl.noteAnswer(now, tf, ag, absence.Held)
+	} else {
+		pl.noteAnswer(now, tf, ag, absence.Possible)
+	}
+	return pl.actions
+}
+
+// noteAnswer notes an agent's answer about a flow. The search goes on if all agents that
+// were asked have answered.
+func (pl *Placer) noteAnswer(now time.Time, tf *trackedFlow, ag *agent, an absence.Answer) {
+	se := tf.search
+	if tf.phase != phaseSearching && tf.phase != phaseLost {
+		return
+	}
+	if an == absence.Held {
+		pl.locate(tf, ag)
+		return
 	}
+	if an == absence.Elsewhere {
+		an = pl.weighElsewhere(tf.flow, ag)
+	}
+	se.setAnswer(ag, an)
+	se.answered.Add(ag.number)
+	se.awaited.Remove(ag.number)
+	switch {
+	case tf.phase == phaseLost:
+		pl.resetIfAbsent(now, tf)
+	case !se.round.tries() && se.turn < 0 && se.awaited.Len() == 0:
+		pl.clearDeadline(tf)
+		pl.nextRound(now, tf)
+	}
+}
+
+// weighElsewhere returns what the answer Elsewhere of an agent counts as. It counts as
+// Absent if this balancer doesn't know either that the flow's address had the agent's
+// service: the host would have to be older than it seems, to have got the flow from an
+// earlier process of its agent, and the address to have changed its service since without
+// any running process that knows. Its own word can't be had, as a host must not get
+// packets of another service.
+func (pl *Placer) weighElsewhere(flow Flow, ag *agent) absence.Answer {
+	if pl.routes == nil {
+		return absence.Unlikely
+	}
+	if ro, ok := pl.routes.Addresses[flow.Service]; ok && ag.service != "" && !ro.Services.Names(ag.service) {
+		return absence.Absent
+	}
+	return absence.Unlikely
+}
+
+// locate ends a search: the agent's host holds the flow.
+func (pl *Placer) locate(tf *trackedFlow, ag *agent) {
+	pl.leaveTurns(tf)
 	pl.clearDeadline(tf)
 	tf.phase = phaseLocated
 	tf.agent = ag
 	tf.established = true
-	for _, data := range tf.search.buffered {
-		pl.forward(ag, flow, data, Action{Mode: DeliverOrQueue})
+	for i, data := range tf.search.buffered {
+		pl.forward(ag, tf.flow, data, Action{Mode: DeliverOrQueue, Found: i == 0})
 	}
-	tf.search = search{}
-	return pl.actions
+	tf.search = nil
 }
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -52,7 +52,8 @@
 	// extended says that the deadline of this attempt was extended by
 	// tickDelayGrace.
 	extended bool
-	search   search
+	// search is the state of a search in phaseSearching and phaseLost, nil in other phases.
+	search *search
 	// deadline is when Tick handles the flow next; index is its position in the
 	// heap, -1 while it has no deadline.
 	deadline time.Time
@@ -121,3 +122,12 @@
 	}
 	return slices.Contains(tf.tried, ag.address)
 }
+
+// excludeAgent notes, for the search that begins next, that the agent has declined a
+// packet of the flow.
+func (tf *trackedFlow) excludeAgent(ag *agent) {
+	if tf.search == nil {
+		tf.search = &search{turn: -1}
+	}
+	tf.search.exclude(ag)
+}
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -55,6 +55,17 @@
 	KindAskConfirmation
 	// KindConfirmation answers KindAskConfirmation.
 	KindConfirmation
+	// KindEvacuations carries a set of evacuated failure domains. It isn't used yet; its
+	// value and that of KindEntriesReviewed are fixed for parts that are built in
+	// parallel.
+	KindEvacuations
+	// KindFindHolders asks an agent about several flows.
+	KindFindHolders
+	// KindHolders answers KindFindHolders, and a KindFindHolder with a number.
+	KindHolders
+	// KindEntriesReviewed tells that a review of the members' entries is complete. It
+	// isn't used yet.
+	KindEntriesReviewed
 )
 
 // ErrMalformed means that a message is too short or has an unknown value.
@@ -227,11 +238,16 @@
 	return carriage.Reason(datagram[1+reportLength]), re, datagram[1+reportLength+1:], nil
 }
 
-// AppendFindHolder appends a KindFindHolder message.
+// AppendFindHolder appends a KindFindHolder message. A number that isn't zero ends it;
+// processes of former builds read it as nothing.
 func AppendFindHolder(buffer []byte, fr carriage.FindRequest) []byte {
 	buffer = appendFlow(append(buffer, byte(KindFindHolder)), fr.Flow)
 	buffer = binary.BigEndian.AppendUint32(buffer, fr.Acknowledged)
-	return appendBool(buffer, fr.Possible)
+	buffer = appendBool(buffer, fr.Possible)
+	if fr.Number != 0 {
+		buffer = binary.BigEndian.AppendUint32(buffer, fr.Number)
+	}
+	return buffer
 }
 
 // DecodeFindHolder returns the request of a KindFindHolder message. A former build
@@ -242,11 +258,15 @@
 	if err != nil || len(rest) < 4 {
 		return carriage.FindRequest{Flow: flow}, ErrMalformed
 	}
-	return carriage.FindRequest{
+	fr := carriage.FindRequest{
 		Flow:         flow,
 		Acknowledged: binary.BigEndian.Uint32(rest),
 		Possible:     len(rest) == 4 || rest[4] == 1,
-	}, nil
+	}
+	if len(rest) >= 5+4 {
+		fr.Number = binary.BigEndian.Uint32(rest[5:])
+	}
+	return fr, nil
 }
 
 func appendBool(buffer []byte, value bool) []byte {
--- a/internal/protocol/waybill/waybill_test.go
+++ b/internal/protocol/waybill/waybill_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
@@ -134,6 +135,8 @@
 	f.Add(AppendDecline(nil, carriage.ReasonFull, sampleReport, []byte("x")))
 	f.Add(AppendFindHolder(nil, carriage.FindRequest{Flow: sampleFlow, Acknowledged: 1}))
 	f.Add(AppendHeld(nil, sampleFlow, false))
+	f.Add(AppendFindHolders(nil, 1, sampleQuestions()))
+	f.Add(AppendHolders(nil, 1, []absence.Answer{absence.Held, absence.Absent}))
 	f.Add([]byte{0})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if len(data) == 0 {
@@ -148,6 +151,8 @@
 		_, _, _, _ = DecodeDecline(data)
 		_, _ = DecodeFindHolder(data)
 		_, _, _ = DecodeHeld(data)
+		_, _, _ = DecodeFindHolders(data)
+		_, _, _ = DecodeHolders(data)
 		_, _ = DecodeReport(data)
 		_, _ = DecodeRoutes(data)
 	})
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
@@ -84,6 +85,7 @@
 	}
 	no.deadline = ag.gate.Deadline
 	no.onFlowMessage = ag.handleFlowMessage
+	no.onEntriesListed = func(time.Time) {}
 	no.onMemberChanged = func(time.Time, members.Record) {}
 	no.onMemberRemoved = func(netip.AddrPort) {}
 	no.onMemberHeard = func(time.Time, netip.AddrPort) {}
@@ -185,13 +187,13 @@
 func (ag *Agent) CheckIn(now time.Time, ci carriage.CheckIn) error {
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
-	before := ag.gate.Report(now).State
+	before, wasCertain := ag.gate.Report(now).State, ag.gate.Certain(now)
 	list, err := ag.gate.CheckIn(now, ci)
 	ag.metrics.Count("CheckIns", 1)
-	state := ag.gate.Report(now).State
-	if err != nil || state != before {
+	state, certain := ag.gate.Report(now).State, ag.gate.Certain(now)
+	if err != nil || state != before || certain != wasCertain {
 		klog.InfoS("Check-in", "host", ci.Name, "started", ci.StartedAt, "sequence", ci.Sequence, "service", ci.Service,
-			"address", ci.Address, "draining", ci.Draining, "before", before, "state", state, "err", err)
+			"address", ci.Address, "draining", ci.Draining, "before", before, "state", state, "certain", certain, "err", err)
 	}
 	ag.performFlowActions(now, list)
 	ag.schedule(now)
@@ -247,6 +249,13 @@
 			return
 		}
 		ag.performFlowActions(now, ag.gate.HandleFind(now, from, fr))
+	case waybill.KindFindHolders:
+		number, list, err := waybill.DecodeFindHolders(datagram)
+		if err != nil {
+			ag.refuseMessage(from, err)
+			return
+		}
+		ag.performFlowActions(now, ag.gate.HandleFindHolders(now, from, number, list))
 	case waybill.KindPing:
 		ag.scratch = waybill.AppendReport(ag.scratch[:0], ag.gate.Report(now))
 		ag.send(from, ag.scratch)
@@ -305,6 +314,8 @@
 			klog.InfoS("Flow claimed", "flow", ac.Flow, "balancer", ac.To, "sure", ac.Sure, "acknowledged", ac.Acknowledged)
 			ag.scratch = waybill.AppendHeld(ag.scratch[:0], ac.Flow, ac.Sure)
 			ag.send(ac.To, ag.scratch)
+		case carriage.KindHolders:
+			ag.answerQuestions(now, ac)
 		case carriage.KindDrop:
 			ag.metrics.Count("Dropped."+ac.Reason.String(), 1)
 			klog.InfoS("Packet dropped", "flow", ac.Flow, "reason", ac.Reason)
@@ -314,6 +325,21 @@
 	}
 }
 
+// answerQuestions sends the answers to a balancer's questions about flows.
+func (ag *Agent) answerQuestions(now time.Time, ac *carriage.Action) {
+	for i, an := range ac.Answers {
+		ag.metrics.Count("Answers."+an.String(), 1)
+		if an == absence.Held {
+			klog.InfoS("Flow claimed", "flow", ac.Questions[i].Flow, "balancer", ac.To, "sure", true,
+				"acknowledged", ac.Questions[i].Acknowledged)
+		}
+	}
+	klog.V(1).InfoS("Flow searches answered", "balancer", ac.To, "number", ac.Number, "answers", ac.Answers,
+		"certain", ag.gate.Certain(now))
+	ag.scratch = waybill.AppendHolders(ag.scratch[:0], ac.Number, ac.Answers)
+	ag.send(ac.To, ag.scratch)
+}
+
 // deliver sends a caller's packet to the host.
 func (ag *Agent) deliver(ac *carriage.Action) {
 	if ac.Opening {
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
@@ -77,6 +78,7 @@
 	no.onMemberHeard = func(now time.Time, from netip.AddrPort) {
 		ba.performFlowActions(now, ba.placer.HandlePeerAlive(now, from))
 	}
+	no.onEntriesListed = func(now time.Time) { ba.placer.MembersListed(now) }
 	no.onMemberChanged = ba.setMember
 	no.onMemberRemoved = ba.removeMember
 	no.onRoutes = func(now time.Time, ro *catalog.Routes) { ba.performFlowActions(now, ba.placer.SetRoutes(now, ro)) }
@@ -178,6 +180,13 @@
 			klog.InfoS("Flow search answered", "flow", flow, "agent", from, "sure", sure)
 			ba.performFlowActions(now, ba.placer.HandleFindAnswer(now, from, flow, sure))
 		}
+	case waybill.KindHolders:
+		var number uint32
+		var answers []absence.Answer
+		if number, answers, err = waybill.DecodeHolders(datagram); err == nil {
+			klog.V(1).InfoS("Flow searches answered", "agent", from, "number", number, "answers", answers)
+			ba.performFlowActions(now, ba.placer.HandleHolders(now, from, number, answers))
+		}
 	case waybill.KindReport:
 		if re, err = waybill.DecodeReport(datagram); err == nil {
 			ba.performFlowActions(now, ba.placer.HandleReport(now, from, re))
@@ -230,11 +239,7 @@
 		case carriage.KindServed:
 			ba.metrics.Observe("ConfirmedMilliseconds", ac.Flow.Service.String(), now.Sub(ac.Started))
 		case carriage.KindFind:
-			ba.metrics.Count("Searches", 1)
-			ba.scratch = waybill.AppendFindHolder(ba.scratch[:0], carriage.FindRequest{
-				Flow: ac.Flow, Acknowledged: ac.Acknowledged, Possible: ac.Possible,
-			})
-			ba.send(ac.To, ba.scratch)
+			ba.find(ac)
 		case carriage.KindPing:
 			ba.scratch = waybill.AppendPing(ba.scratch[:0])
 			ba.send(ac.To, ba.scratch)
@@ -249,6 +254,23 @@
 	}
 }
 
+// find sends questions about flows to an agent. One that isn't known to take several in a
+// message may be of a former build; it always is to say whether its host possibly holds the
+// flow.
+func (ba *Balancer) find(ac *carriage.Action) {
+	ba.metrics.Count("Searches", int64(len(ac.Questions)))
+	ba.metrics.Count("SearchMessages", 1)
+	if ac.Batch {
+		ba.scratch = waybill.AppendFindHolders(ba.scratch[:0], ac.Number, ac.Questions)
+	} else {
+		qu := ac.Questions[0]
+		ba.scratch = waybill.AppendFindHolder(ba.scratch[:0], carriage.FindRequest{
+			Flow: qu.Flow, Acknowledged: qu.Acknowledged, Possible: true, Number: ac.Number,
+		})
+	}
+	ba.send(ac.To, ba.scratch)
+}
+
 // forward sends a caller's packet to the agent that the placer chose.
 func (ba *Balancer) forward(now time.Time, ac *carriage.Action) {
 	fo := waybill.Forward{Mode: ac.Mode, ServiceTag: ac.ServiceHash, Version: ba.view.Version()}
@@ -257,6 +279,10 @@
 	}
 	ba.scratch = waybill.AppendForward(ba.scratch[:0], fo, ac.Data)
 	ba.send(ac.To, ba.scratch)
+	if ac.Found {
+		ba.metrics.Count("FlowsFound", 1)
+		klog.InfoS("Flow found", "flow", ac.Flow, "agent", ac.To)
+	}
 	if !ac.Opening {
 		return
 	}
@@ -268,7 +294,8 @@
 // sendReset sends a reset to the caller: its opening is refused or its flow is lost.
 func (ba *Balancer) sendReset(ac *carriage.Action) {
 	ba.metrics.Count("Refused."+ac.Reason.String(), 1)
-	klog.InfoS("Flow reset", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening, "version", ba.view.Version())
+	klog.InfoS("Flow reset", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening, "version", ba.view.Version(),
+		"acknowledged", ac.Acknowledged, "absentAtAgents", ac.Agents)
 	to := netip.AddrPortFrom(ac.Flow.Caller.Addr(), ba.settings.Callers.Port())
 	if _, err := ba.callerConn.WriteToUDPAddrPort(ba.config.Codec.EncodeReset(ac.Flow, ac.Acknowledged), to); err != nil {
 		klog.ErrorS(err, "Reset not sent", "flow", ac.Flow)
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -47,12 +47,20 @@
 	}
 	klog.InfoS("Members found in the store", "count", len(found), "self", present)
 	no.greet(found)
+	no.noteEntriesListed()
 	if present {
 		return nil
 	}
 	return no.writeEntry(ctx)
 }
 
+// noteEntriesListed tells the role that all entries were read and their processes greeted.
+func (no *node) noteEntriesListed() {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.onEntriesListed(time.Now())
+}
+
 // listEntries reads all entries from the store.
 func (no *node) listEntries(ctx context.Context) ([]Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -68,6 +68,9 @@
 	deadline func() time.Time
 	// onFlowMessage handles a message about flows.
 	onFlowMessage func(now time.Time, from netip.AddrPort, datagram []byte)
+	// onEntriesListed handles a list of all members' entries that was read from the store
+	// and added to the view.
+	onEntriesListed func(now time.Time)
 	// onMemberChanged handles a member that was added or has a new record.
 	onMemberChanged func(now time.Time, re members.Record)
 	// onMemberRemoved handles a member that was removed.
