feat(carrier): agents of departed hosts remove their entry

The entry of an agent whose host had gone stayed in the store until another member found it silent for 15 s. At a restart of everything 110 entries stood beside 83 processes, and a balancer that starts waits for the answers of all agents that it finds there before it tells a caller that its flow is lost.

An agent whose host has checked out and that is told to stop now removes its own entry when its work has ended: one call, within the time of one call and the time to stop, and it doesn't write the entry again. The entry is removed at the revision at which this process wrote or found it, so that of a later process stays. An agent whose host lives keeps it.

--- a/internal/coordination/carriage/large_test.go
+++ b/internal/coordination/carriage/large_test.go
@@ -41,6 +41,7 @@
 			si.runUntil(began.Add(12 * time.Second))
 			So(si.served-served, ShouldBeGreaterThan, 50*hosts)
 			So(si.finds+si.possibles, ShouldBeLessThan, 6*(si.served-before))
+			t.Logf("%d hosts: %d messages, %d answers", hosts, si.finds+si.possibles, si.served-before)
 		}
 	})
 }
--- a/internal/transport/carrier/absence_test.go
+++ b/internal/transport/carrier/absence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -16,6 +17,69 @@
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
 
+// The entry of an agent whose host was gone stayed in the store: a balancer that started
+// later waited for its answers, and told no caller that its flow was lost.
+func TestStoppedAgentRemovesItsEntry(t *testing.T) {
+	type outcome struct {
+		removed, written []string
+		took             time.Duration
+	}
+	// stop plays the stop of a process. Its entry was found in the store, or written.
+	stop := func(leaves, found bool, remove func(ctx context.Context) error) outcome {
+		var oc outcome
+		synctest.Test(t, func(t *testing.T) {
+			no := openNode(t, Store{
+				RemoveEntry: func(ctx context.Context, en Entry) error {
+					oc.removed = append(oc.removed, "found "+en.Name)
+					return remove(ctx)
+				},
+				RemoveOwnEntry: func(ctx context.Context, name string) error {
+					oc.removed = append(oc.removed, "written "+name)
+					return remove(ctx)
+				},
+				WriteEntry: func(_ context.Context, name string, _ members.Record) error {
+					oc.written = append(oc.written, name)
+					return nil
+				},
+			})
+			no.settings.StopWithin = settings.Duration(3 * time.Second)
+			if found {
+				no.noteOwnEntry(Entry{Name: no.settings.Name, Record: no.view.Self()})
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			began := time.Now()
+			no.stop(ctx, t.Context(), lifecycle{
+				drain: func(time.Time) {}, idle: func(time.Time) bool { return true },
+				leaves: func() bool { return leaves },
+			})
+			oc.took = time.Since(began)
+			// A member that hasn't heard of the stop says that the entry is missing.
+			no.rewriteEntry(t.Context())
+		})
+		return oc
+	}
+	succeed := func(context.Context) error { return nil }
+	Convey("An agent whose host has checked out removes its entry, and doesn't write it again", t, func() {
+		So(stop(true, false, succeed).removed, ShouldResemble, []string{"written balancer-1"})
+		So(stop(true, true, succeed).removed, ShouldResemble, []string{"found balancer-1"})
+		So(stop(true, true, succeed).written, ShouldBeEmpty)
+	})
+	Convey("An agent whose host lives keeps its entry", t, func() {
+		oc := stop(false, true, succeed)
+		So(oc.removed, ShouldBeEmpty)
+		So(oc.written, ShouldResemble, []string{"balancer-1"})
+	})
+	Convey("A store that doesn't answer is called once and delays the stop by the time of one call only", t, func() {
+		oc := stop(true, false, func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		So(oc.removed, ShouldResemble, []string{"written balancer-1"})
+		So(oc.took, ShouldBeLessThanOrEqualTo, stopCheckInterval+callTimeout)
+	})
+}
+
 // A balancer that hasn't read the entries doesn't know whose hosts may hold a flow.
 func TestListOfEntriesCompletesTheView(t *testing.T) {
 	Convey("The role learns of the list after its processes are members, and only if it was read", t, func() {
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -116,6 +116,7 @@
 		},
 		idle:         func(time.Time) bool { return ag.gate.Idle() },
 		minStopTime:  minAgentStopTime,
+		leaves:       func() bool { return ag.gate.Gone() },
 		closeSockets: func() { ag.hostConn.Close() },
 	})
 }
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -94,6 +94,9 @@
 	// ErrRevisionExpired is returned, wrapped, if the store was restored since then;
 	// another entry of the same name may be removed then.
 	RemoveEntry func(ctx context.Context, en Entry) error
+	// RemoveOwnEntry removes the entry that this process has written under the name, with
+	// one call, unless it has changed since.
+	RemoveOwnEntry func(ctx context.Context, name string) error
 	// Routes reads the configuration and the store's position. The routes are nil
 	// if the store has no configuration.
 	Routes func(ctx context.Context) (*catalog.Routes, Position, error)
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -40,7 +40,10 @@
 	own := no.ownRecord()
 	for _, en := range entries {
 		if en.Record.Address == own.Address {
-			present = present || en.Name == no.settings.Name && en.Record.Role == own.Role
+			if en.Name == no.settings.Name && en.Record.Role == own.Role {
+				present = true
+				no.noteOwnEntry(en)
+			}
 			continue
 		}
 		found = append(found, en.Record)
@@ -61,6 +64,39 @@
 	no.onEntriesListed(time.Now())
 }
 
+// noteOwnEntry keeps the process's entry that was found in the store.
+func (no *node) noteOwnEntry(en Entry) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.ownEntry = en
+}
+
+// withdrawEntry removes the process's own entry from the store, with one call within the
+// given time. A balancer that starts later would otherwise take the process for a member
+// that may have a host with flows, until it has been silent for long enough.
+func (no *node) withdrawEntry(ctx context.Context, within time.Duration) {
+	no.mu.Lock()
+	no.withdrawn = true
+	en := no.ownEntry
+	no.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, min(within, callTimeout))
+	defer cancel()
+	var err error
+	if en.Name != "" {
+		err = no.store.RemoveEntry(ctx, en)
+	} else {
+		err = no.store.RemoveOwnEntry(ctx, no.settings.Name)
+	}
+	klog.InfoS("Own entry removed", "name", no.settings.Name, "found", en.Name != "", "err", err)
+}
+
+// isWithdrawn reports whether the process's own entry must not be written any more.
+func (no *node) isWithdrawn() bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.withdrawn
+}
+
 // listEntries reads all entries from the store.
 func (no *node) listEntries(ctx context.Context) ([]Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -86,18 +122,18 @@
 // It is repeated until it succeeds, as nobody may report the entry missing again.
 func (no *node) rewriteEntry(ctx context.Context) {
 	var bo backoff
-	for {
+	for !no.isWithdrawn() {
 		began := time.Now()
 		err := no.writeEntry(ctx)
 		if err == nil {
-			break
+			klog.InfoS("Store entry rewritten", "failures", bo.failures)
+			return
 		}
 		klog.ErrorS(err, "Store entry not rewritten", "failures", bo.failures)
 		if !bo.wait(ctx, began, maxJoinBackoff) {
 			return
 		}
 	}
-	klog.InfoS("Store entry rewritten", "failures", bo.failures)
 }
 
 // reviewEntries compares the entries in the store with the view some time after the
--- a/internal/transport/carrier/lifecycle.go
+++ b/internal/transport/carrier/lifecycle.go
@@ -28,6 +28,10 @@
 	idle func(now time.Time) bool
 	// minStopTime is the shortest time of a graceful shutdown.
 	minStopTime time.Duration
+	// leaves reports whether the process is not to come back, so that its entry in the
+	// store is removed after the work has ended. It is called with mu held; nil stands for
+	// a process whose entry stays.
+	leaves func() bool
 	// closeSockets closes the role's sockets.
 	closeSockets func()
 }
@@ -74,9 +78,19 @@
 	klog.InfoS("Process stopping", "name", no.settings.Name, "within", deadline.Sub(began))
 	for time.Now().Before(deadline) && sleepContext(work, stopCheckInterval) {
 		if now := time.Now(); now.Sub(began) > li.minStopTime && no.isIdle(now, li) {
-			return
+			break
 		}
 	}
+	if no.mayLeave(li) {
+		// Half of stopMargin is left for closing the sockets.
+		no.withdrawEntry(work, time.Until(deadline.Add(stopMargin/2)))
+	}
+}
+
+func (no *node) mayLeave(li lifecycle) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return li.leaves != nil && li.leaves()
 }
 
 func (no *node) isIdle(now time.Time, li lifecycle) bool {
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -56,6 +56,10 @@
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
+	// ownEntry is the process's entry as it was found in the store, the zero value if it
+	// was written by this process. withdrawn says that it is removed for good.
+	ownEntry  Entry
+	withdrawn bool
 	// scratch is a reused buffer in which outgoing messages are built.
 	scratch []byte
 
