--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -61,7 +61,9 @@
 func (no *node) noteEntriesListed() {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	no.onEntriesListed(time.Now())
+	now := time.Now()
+	no.onEntriesListed(now)
+	no.schedule(now)
 }
 
 // noteOwnEntry keeps the process's entry that was found in the store.
