test(carriage): a host works on a request only while it has its flow

A simulated host that was still busy with the last flow of a port answered the port's next flow with that request, which counted as wrong answers: TestReusedPortsUnderRandomFaults with -rapid.seed=2639265, without any fault. Requests that wait now belong to a flow and not to its addresses; the check is unchanged.

--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -112,7 +112,7 @@
 	case pk.Length == 0:
 	case end > fl.received:
 		fl.received = end
-		ho.waiting = append(ho.waiting, pk.Flow)
+		ho.waiting = append(ho.waiting, simRequest{flow: pk.Flow, at: fl})
 		si.startWork(ho)
 	case fl.answered == fl.received:
 		si.answer(ho, pk.Flow, fl)
@@ -132,7 +132,7 @@
 
 func (si *simulation) startWork(ho *simHost) {
 	for ho.working < simSlots && len(ho.waiting) > 0 {
-		flow, startedAt := ho.waiting[0], ho.startedAt
+		rq, startedAt := ho.waiting[0], ho.startedAt
 		ho.waiting = ho.waiting[1:]
 		ho.working++
 		si.after(ho.work/2+time.Duration(si.random.Int64N(int64(ho.work))), func() {
@@ -141,11 +141,11 @@
 			}
 			ho.working--
 			ho.requests++
-			if fl := ho.flows[flow]; fl != nil {
+			if fl := rq.at; ho.flows[rq.flow] == fl {
 				fl.answered = fl.received
 				fl.sent += simAnswerBytes
-				fl.finished = si.callers[flow].keepsUntil.IsZero() || !ho.draining.IsZero()
-				si.answer(ho, flow, fl)
+				fl.finished = si.callers[rq.flow].keepsUntil.IsZero() || !ho.draining.IsZero()
+				si.answer(ho, rq.flow, fl)
 			}
 			si.startWork(ho)
 		})
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -136,12 +136,19 @@
 	// working is the number of requests that the host works on, each for work on
 	// average; waiting are the flows whose requests wait for a slot.
 	working int
-	waiting []Flow
+	waiting []simRequest
 	work    time.Duration
 	// requests is the number of requests that the host has worked on.
 	requests int
 }
 
+// simRequest is a request that waits at a simulated host. The caller's port may be used
+// for another flow before its turn comes.
+type simRequest struct {
+	flow Flow
+	at   *simFlow
+}
+
 // simFlow is a flow at a simulated host.
 type simFlow struct {
 	// openingSequence is the sequence number of the caller's opening packet.
