--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -59,6 +59,10 @@
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
+	// ownEntry is the process's entry as it was found in the store, the zero value if it
+	// was written by this process. withdrawn says that it is removed for good.
+	ownEntry  Entry
+	withdrawn bool
 	// scratch is a reused buffer in which outgoing messages are built.
 	scratch []byte
 
@@ -71,6 +75,9 @@
 	deadline func() time.Time
 	// onFlowMessage handles a message about flows.
 	onFlowMessage func(now time.Time, from netip.AddrPort, datagram []byte)
+	// onEntriesListed handles a list of all members' entries that was read from the store
+	// and added to the view.
+	onEntriesListed func(now time.Time)
 	// onMemberChanged handles a member that was added or has a new record.
 	onMemberChanged func(now time.Time, re members.Record)
 	// onMemberRemoved handles a member that was removed.
