fix(carriage): take routes for no proof of absence

An agent that was not certain and whose routes gave a flow's address to other services answered Elsewhere, and a balancer with the same routes took that for Absent. The routes prove nothing: the address may have had the host's service before all running processes started, and the host of such an agent may be older than it seems. The caller of a living flow could then be reset.

Such an agent now answers Unknown, which blocks the reset, whatever its host's start time says. TestAgentAnswers failed before (5 instead of 0).

--- a/internal/coordination/absence/answer.go
+++ b/internal/coordination/absence/answer.go
@@ -5,8 +5,8 @@
 
 const (
 	// Unknown says that the agent can't tell, and that its host must not be sent a packet
-	// of the flow to find out: the flow's address belongs to other services. It also stands
-	// for an answer of a later build.
+	// of the flow to find out: the flow's address belongs to other services. There is no
+	// reset then. It also stands for an answer of a later build.
 	Unknown Answer = iota
 	// Held says that the host is known to hold the flow, to have accepted it, or to have
 	// lost it.
@@ -19,15 +19,12 @@
 	// Unlikely is Possible of an agent whose host seems to have started with it, as far as
 	// start times tell. That is no proof, but such hosts are sent the packet last.
 	Unlikely
-	// Elsewhere is Unlikely of an agent whose routes give the flow's address, now and for
-	// a flow's lifetime, to other services than its host's.
-	Elsewhere
 
 	// answerCount is the number of answers.
 	answerCount
 )
 
-var answerNames = [answerCount]string{"Unknown", "Held", "Possible", "Absent", "Unlikely", "Elsewhere"}
+var answerNames = [answerCount]string{"Unknown", "Held", "Possible", "Absent", "Unlikely"}
 
 // String returns the answer's name.
 func (an Answer) String() string {
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -123,10 +123,9 @@
 		return absence.Possible
 	case !ga.mayHold(now):
 		return absence.Absent
-	case ga.servedElsewhere(qu.Flow) && (ga.hostOlder || ga.routes == nil):
-		return absence.Unknown
 	case ga.servedElsewhere(qu.Flow):
-		return absence.Elsewhere
+		// The routes are no proof: the address may have had the host's service before.
+		return absence.Unknown
 	case !ga.hostOlder:
 		return absence.Unlikely
 	default:
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -564,9 +564,6 @@
 		pl.locate(tf, ag)
 		return
 	}
-	if an == absence.Elsewhere {
-		an = pl.weighElsewhere(tf.flow, ag)
-	}
 	se.setAnswer(ag, an)
 	se.answered.Add(ag.number)
 	se.awaited.Remove(ag.number)
@@ -579,22 +576,6 @@
 	}
 }
 
-// weighElsewhere returns what the answer Elsewhere of an agent counts as. It counts as
-// Absent if this balancer doesn't know either that the flow's address had the agent's
-// service: the host would have to be older than it seems, to have got the flow from an
-// earlier process of its agent, and the address to have changed its service since without
-// any running process that knows. Its own word can't be had, as a host must not get
-// packets of another service.
-func (pl *Placer) weighElsewhere(flow Flow, ag *agent) absence.Answer {
-	if pl.routes == nil {
-		return absence.Unlikely
-	}
-	if ro, ok := pl.routes.Addresses[flow.Service]; ok && ag.service != "" && !ro.Services.Names(ag.service) {
-		return absence.Absent
-	}
-	return absence.Unlikely
-}
-
 // locate ends a search: the agent's host holds the flow.
 func (pl *Placer) locate(tf *trackedFlow, ag *agent) {
 	pl.leaveTurns(tf)
