fix(carriage): take answers for the flow that was asked about only

An answer Absent could count for another flow than the one it was about, whose host lives. Numbers of questions began at 1 in each process, so an agent's late answer to a former process was taken for one to a new question. A packet of a later flow between the same addresses went on with the search, and the answers, of the former one, and late answers counted in the next search. An agent known as Gone counted as absent although it had answered Possible: the report that its host had started again was lost. A balancer with older routes than an agent's didn't ask the service that the address had been given to.

Numbers begin with the time of the start. Each answer is compared with the acknowledged number of its question, and a packet of another flow begins the search anew. Gone agents are waited for within the round, and one that answers counts by its answer. While an agent has reported newer routes, nobody is reset.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -161,6 +161,7 @@
 		return nil
 	}
 	ag.report = re
+	pl.newestVersion = max(pl.newestVersion, re.Version)
 	ag.reported = now
 	ag.sent = 0
 	pl.markAlive(now, ag)
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -72,6 +72,8 @@
 	budget      absence.Budget
 	inquiries   uint32
 	agentNumber uint32
+	// newestVersion is the highest version of routes that an agent has reported.
+	newestVersion uint64
 	// listed is when the balancer first read the members' entries, zero before; settled
 	// says that its view is complete since then.
 	listed  time.Time
@@ -94,6 +96,10 @@
 func NewPlacer(now time.Time, st PlacerSettings) *Placer {
 	return &Placer{
 		domain: st.Domain, started: now, lifetime: st.FlowLifetime, startup: now.Add(startupTime),
+		// An agent may answer a former process's question late. Microseconds pass faster
+		// than messages are sent, so its numbers aren't given again.
+		inquiries: uint32(now.UnixMicro()),
+
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string]pool),
 		medians: make(map[string]medianTime),
@@ -207,6 +213,12 @@
 	tf.number = pk.Sequence
 	switch tf.phase {
 	case phaseSearching:
+		if !near(tf.search.acknowledged, pk.Acknowledged) {
+			// The caller has used its port again.
+			pl.clearDeadline(tf)
+			pl.restartSearch(now, tf, pk, data)
+			break
+		}
 		tf.search.buffer(data)
 		tf.search.acknowledged = pk.Acknowledged
 	case phaseLost:
--- a/internal/coordination/carriage/questions.go
+++ b/internal/coordination/carriage/questions.go
@@ -50,9 +50,10 @@
 
 // inquiry is a message with questions that an agent hasn't answered yet.
 type inquiry struct {
-	number uint32
-	sent   time.Time
-	flows  []*trackedFlow
+	number    uint32
+	sent      time.Time
+	flows     []*trackedFlow
+	questions []Question
 }
 
 // outbox holds the questions to one agent.
@@ -166,22 +167,22 @@
 	for len(ob.inquiries) >= maxInquiries || len(ob.inquiries) > 0 && now.Sub(ob.inquiries[0].sent) > inquiryLifetime {
 		ob.inquiries = ob.inquiries[1:]
 	}
-	ob.inquiries = append(ob.inquiries, inquiry{number: pl.inquiries, sent: now, flows: flows})
+	ob.inquiries = append(ob.inquiries, inquiry{number: pl.inquiries, sent: now, flows: flows, questions: questions})
 	pl.actions = append(pl.actions, Action{
 		Kind: KindFind, To: ob.agent.address, Flow: flows[0].flow, Number: pl.inquiries, Questions: questions, Batch: batch,
 	})
 }
 
-// take removes the inquiry with the number and returns its flows.
-func (ob *outbox) take(number uint32) []*trackedFlow {
+// take removes and returns the inquiry with the number, the zero value if there is none.
+func (ob *outbox) take(number uint32) inquiry {
 	for i := range ob.inquiries {
 		if ob.inquiries[i].number == number {
-			flows := ob.inquiries[i].flows
+			iq := ob.inquiries[i]
 			ob.inquiries = append(ob.inquiries[:i:i], ob.inquiries[i+1:]...)
-			return flows
+			return iq
 		}
 	}
-	return nil
+	return inquiry{}
 }
 
 // HandleHolders handles an agent's answers to the questions with the number, one for each
@@ -195,13 +196,15 @@
 	pl.markAlive(now, ag)
 	ob := &ag.outbox
 	ob.batches, ob.former, ob.answered = true, false, now
-	flows := ob.take(number)
+	iq := ob.take(number)
 	if ob.index >= 0 && ob.pause != questionInterval {
 		ob.pause = questionInterval
 		heap.Fix(&pl.outboxes, ob.index)
 	}
-	for i, an := range answers[:min(len(answers), len(flows))] {
-		if tf := flows[i]; pl.flows.peek(tf.flow) == tf && tf.search != nil {
+	for i, an := range answers[:min(len(answers), len(iq.flows))] {
+		// The answer may be about a former flow between the same addresses.
+		tf, asked := iq.flows[i], iq.questions[i].Acknowledged
+		if pl.flows.peek(tf.flow) == tf && tf.search != nil && near(asked, tf.search.acknowledged) {
 			pl.noteAnswer(now, tf, ag, an)
 		}
 	}
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -240,7 +240,7 @@
 	former := tf.search
 	pl.leaveTurns(tf)
 	tf.search = &search{turn: -1}
-	if se := tf.search; former != nil && (former.acknowledged == 0 || near(former.acknowledged, pk.Acknowledged)) {
+	if se := tf.search; former != nil && (former.asked == 0 || near(former.acknowledged, pk.Acknowledged)) {
 		se.absent, se.excluded, se.tried, se.asked = former.absent, former.excluded, former.tried, former.asked
 		se.declined = former.declined
 		if now.Before(former.possibleUntil) {
@@ -280,7 +280,7 @@
 	tf.phase = phaseLost
 	tf.search = &search{
 		acknowledged: se.acknowledged, absent: se.absent, excluded: se.excluded, declined: se.declined,
-		tried: se.tried, asked: se.asked, turn: -1, resumes: now.Add(lostPause),
+		answered: se.answered, tried: se.tried, asked: se.asked, turn: -1, resumes: now.Add(lostPause),
 	}
 	tf.search.keepPossible(se)
 	pl.drop(tf.flow, ReasonNotFound, false)
@@ -339,9 +339,7 @@
 		se.declined = nil
 	}
 	for _, ag := range list {
-		if ag.report.State != register.StateGone {
-			se.awaited.Add(ag.number)
-		}
+		se.awaited.Add(ag.number)
 		if se.round != roundCandidates {
 			se.askedAll.Add(ag.number)
 		}
@@ -397,14 +395,15 @@
 }
 
 // resetIfAbsent resets the caller if it is proved that no host holds the flow, and
-// forgets the flow.
+// forgets the flow. An agent whose host has checked out need not answer. One that does, and
+// doesn't say Absent, has a host that has started since.
 func (pl *Placer) resetIfAbsent(now time.Time, tf *trackedFlow) bool {
 	list := pl.mayHold(now, tf.flow)
 	if !pl.viewComplete(now) || len(list) == 0 {
 		return false
 	}
 	for _, ag := range list {
-		if !tf.search.absent.Has(ag.number) && ag.report.State != register.StateGone {
+		if !tf.search.absent.Has(ag.number) && (ag.report.State != register.StateGone || tf.search.answered.Has(ag.number)) {
 			return false
 		}
 	}
@@ -448,9 +447,10 @@
 }
 
 // viewComplete reports whether the balancer knows all agents that may have hosts with
-// flows.
+// flows. With older routes than an agent's it may not know that an address was given to
+// another service, whose hosts hold flows by now.
 func (pl *Placer) viewComplete(now time.Time) bool {
-	return !pl.listed.IsZero() && now.Sub(pl.listed) >= viewSettled && pl.routes != nil
+	return !pl.listed.IsZero() && now.Sub(pl.listed) >= viewSettled && pl.routes != nil && pl.routes.Version >= pl.newestVersion
 }
 
 // mayHold returns the agents whose hosts may hold the flow, as far as the balancer knows
