fix(carriage): prove no absence by messages of other hosts

An agent that was restarted beside a living host said Absent for the host's flows in three cases: after a check-out of any name before the host's check-in; after another writer's first check-in with an earlier start, also once the host itself had checked in; and after a first check-in of a host that an earlier process of the agent had presumed healthy and had given flows.

A check-out before any check-in stops openings, but is no proof and isn't reported as Gone. A check-in of another start that isn't that start's first ends a certainty that rests on a first check-in. A presumed host's first check-in makes no agent certain.

TestMessagesOfOtherHostsProveNothing failed in all three cases before the change and passes with it.

--- a/internal/coordination/absence/certainty.go
+++ b/internal/coordination/absence/certainty.go
@@ -37,7 +37,7 @@
 // flow before its first check-in is acknowledged, unless this process presumed it to be
 // healthy and admitted the flow itself.
 //
-// The check-ins of later starts change nothing: one of another writer can't be told
+// The check-ins of later starts make no agent certain: one of another writer can't be told
 // from them, and an agent that has missed flows of a living host must not forget so.
 func (ce *Certainty) FirstCheckIn(startedAt time.Time, sequence uint64) {
 	if !ce.fromStart && sequence == firstSequence {
@@ -57,6 +57,17 @@
 	}
 }
 
+// LaterStart notes a check-in with the given sequence number that is the first received of
+// another start. If it isn't the first that the host has sent, the agent may have missed
+// that one because it is younger than the host, and the check-in that made it certain was
+// another writer's.
+func (ce *Certainty) LaterStart(sequence uint64) {
+	if !ce.firstStart.IsZero() && sequence != firstSequence {
+		ce.fromStart = false
+		ce.firstStart = time.Time{}
+	}
+}
+
 // Dropped notes that the agent has forgotten a flow that its host may still hold. The
 // agent is certain again after a flow's lifetime.
 func (ce *Certainty) Dropped(now time.Time) {
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -28,10 +28,15 @@
 	}
 	if ga.known && !ga.presumed && !ci.StartedAt.Equal(ga.host.StartedAt) {
 		ga.hostRestarted(now)
+		ga.certainty.LaterStart(ci.Sequence)
 	}
 	if ga.presumed || !ga.known {
 		ga.hostOlder = ga.hostOlder && !ga.startedTogether(ci)
-		ga.certainty.FirstCheckIn(ci.StartedAt, ci.Sequence)
+		if !ga.presumed {
+			// A host that was healthy before its first check-in may have got flows from an
+			// earlier process that presumed so too.
+			ga.certainty.FirstCheckIn(ci.StartedAt, ci.Sequence)
+		}
 	} else {
 		ga.certainty.EarlierCheckIn(ci.StartedAt)
 	}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -84,7 +84,7 @@
 	refusedAt time.Time
 	// presumed says that the host passed a health check but has not checked in.
 	presumed bool
-	// gone says that the host has checked out, agentDraining that the agent shuts
+	// gone says that a host has checked out, agentDraining that the agent shuts
 	// down. drainStart is when the host checked in as draining, zero if it did so
 	// before the agent started.
 	gone          bool
@@ -178,8 +178,9 @@
 // Certain reports whether the agent knows all flows that its host may hold.
 func (ga *Gate) Certain(now time.Time) bool { return ga.certainty.Certain(now) }
 
-// Gone reports whether the host has checked out.
-func (ga *Gate) Gone() bool { return ga.gone }
+// Gone reports whether the host has checked out. A check-out before any check-in may be
+// that of another host: a former one that ran at the same address.
+func (ga *Gate) Gone() bool { return ga.gone && ga.known && !ga.presumed }
 
 // Service returns the service of the host, "" while it is unknown.
 func (ga *Gate) Service() string { return ga.host.Service }
@@ -196,8 +197,10 @@
 // host is unknown, silent or ejected.
 func (ga *Gate) state(now time.Time) register.State {
 	switch {
-	case ga.gone:
+	case ga.Gone():
 		return register.StateGone
+	case ga.gone:
+		return register.StateDraining
 	case !ga.known || ga.silent || now.Before(ga.ejectedUntil):
 		return 0
 	case ga.agentDraining || ga.host.Draining:
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -117,7 +117,7 @@
 	switch {
 	case hf != nil && hf.isKnownHolder() && hf.isOf(qu.Acknowledged):
 		return absence.Held
-	case ga.gone || hf != nil && hf.hasReturned(qu.Acknowledged):
+	case ga.Gone() || hf != nil && hf.hasReturned(qu.Acknowledged):
 		return absence.Absent
 	case hf != nil && hf.mayBecomeOf(qu.Acknowledged):
 		return absence.Possible
@@ -135,7 +135,7 @@
 }
 
 // mayHold reports whether the host may hold flows that the agent doesn't know.
-func (ga *Gate) mayHold(now time.Time) bool { return !ga.gone && !ga.certainty.Certain(now) }
+func (ga *Gate) mayHold(now time.Time) bool { return !ga.Gone() && !ga.certainty.Certain(now) }
 
 // servedElsewhere reports whether the flow's address may have belonged only to other
 // services than the host's, for as long as a flow may last. Agents of other services are
