--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -57,10 +57,12 @@
 	KindConfirmation
 	// KindEvacuations carries a page of the evacuated failure domains.
 	KindEvacuations
-	// KindFindHolders, KindHolders and KindEntriesReviewed are reserved for the messages
-	// that docs/design/recovery-and-load.md gives these values.
+	// KindFindHolders asks an agent about several flows.
 	KindFindHolders
+	// KindHolders answers KindFindHolders, and a KindFindHolder with a number.
 	KindHolders
+	// KindEntriesReviewed tells that a review of the members' entries is complete. It
+	// isn't used yet.
 	KindEntriesReviewed
 )
 
@@ -234,11 +236,16 @@
 	return carriage.Reason(datagram[1+reportLength]), re, datagram[1+reportLength+1:], nil
 }
 
-// AppendFindHolder appends a KindFindHolder message.
+// AppendFindHolder appends a KindFindHolder message. A number that isn't zero ends it;
+// processes of former builds read it as nothing.
 func AppendFindHolder(buffer []byte, fr carriage.FindRequest) []byte {
 	buffer = appendFlow(append(buffer, byte(KindFindHolder)), fr.Flow)
 	buffer = binary.BigEndian.AppendUint32(buffer, fr.Acknowledged)
-	return appendBool(buffer, fr.Possible)
+	buffer = appendBool(buffer, fr.Possible)
+	if fr.Number != 0 {
+		buffer = binary.BigEndian.AppendUint32(buffer, fr.Number)
+	}
+	return buffer
 }
 
 // DecodeFindHolder returns the request of a KindFindHolder message. A former build
@@ -249,11 +256,15 @@
 	if err != nil || len(rest) < 4 {
 		return carriage.FindRequest{Flow: flow}, ErrMalformed
 	}
-	return carriage.FindRequest{
+	fr := carriage.FindRequest{
 		Flow:         flow,
 		Acknowledged: binary.BigEndian.Uint32(rest),
 		Possible:     len(rest) == 4 || rest[4] == 1,
-	}, nil
+	}
+	if len(rest) >= 5+4 {
+		fr.Number = binary.BigEndian.Uint32(rest[5:])
+	}
+	return fr, nil
 }
 
 func appendBool(buffer []byte, value bool) []byte {
