fix(platform): give each page of the entries its own timeout

Cause: a process listed all pages of the entries within one callTimeout of 700 ms. A store with more pages than fit into it was never read: a starting process did not write its entry, and the review of the entries failed again and again.

Change: each page gets PageTimeout (700 ms).

A list of 34 s (98 pages of 350 ms, virtual time) is read at the start and by a review; before, both ended with "context deadline exceeded".

--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -85,7 +85,9 @@
 
 // Store holds the functions that call the platform's store.
 type Store struct {
-	// ListEntries returns the entries of all processes.
+	// ListEntries returns the entries of all processes. It gives the call for each
+	// page PageTimeout and ends by itself, because the context of its caller sets no
+	// time limit.
 	ListEntries func(ctx context.Context) ([]Entry, error)
 	// WriteEntry writes the entry of this process under the name. ErrRevisionExpired is
 	// returned, wrapped, if the store was restored meanwhile.
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -17,6 +17,9 @@
 	// hangs while the store becomes available again must not delay a process that
 	// starts.
 	callTimeout = 700 * time.Millisecond
+	// PageTimeout bounds the call for one page of a list of entries. The list itself
+	// takes as long as its pages do.
+	PageTimeout = callTimeout
 	// reviewDelay is the time from the reason for a review of the entries to the
 	// review. Processes that start write their entries within it.
 	reviewDelay = 2 * time.Second
@@ -31,7 +34,7 @@
 	if !readEntries {
 		return no.writeEntry(ctx)
 	}
-	entries, err := no.listEntries(ctx)
+	entries, err := no.store.ListEntries(ctx)
 	if err != nil {
 		return err
 	}
@@ -53,13 +56,6 @@
 	return no.writeEntry(ctx)
 }
 
-// listEntries reads all entries from the store.
-func (no *node) listEntries(ctx context.Context) ([]Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return no.store.ListEntries(ctx)
-}
-
 // writeEntry writes the process's own entry to the store.
 func (no *node) writeEntry(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -136,7 +132,7 @@
 // entry to write theirs. It reports whether nothing was missing or failed. A failure
 // is logged only.
 func (no *node) reviewOnce(ctx context.Context) bool {
-	entries, err := no.listEntries(ctx)
+	entries, err := no.store.ListEntries(ctx)
 	if err != nil {
 		klog.ErrorS(err, "Store entries not reviewed")
 		return false
--- a/internal/transport/carrier/entries_test.go
+++ b/internal/transport/carrier/entries_test.go
@@ -106,3 +106,34 @@
 		})
 	})
 }
+
+// Guards against a time limit of one call for a list of many pages, with which neither
+// a start nor a review can read a store that has more pages than fit into it.
+func TestListOfManyPagesTakesLongerThanACall(t *testing.T) {
+	var errRegister error
+	written, reviewed := 0, false
+	synctest.Test(t, func(t *testing.T) {
+		no := openNode(t, Store{
+			ListEntries: func(ctx context.Context) ([]Entry, error) {
+				if !sleepContext(ctx, 98*callTimeout/2) {
+					return nil, ctx.Err()
+				}
+				return []Entry{{Name: "agent-1", Record: agentAt("127.0.0.1:8")}}, nil
+			},
+			WriteEntry: func(context.Context, string, members.Record) error {
+				written++
+				return nil
+			},
+		})
+		no.onDeadline = func(time.Time) {}
+		no.onMemberChanged = func(time.Time, members.Record) {}
+		errRegister = no.register(t.Context(), true)
+		no.reviewOnce(t.Context())
+		reviewed = len(no.entryMissing) == 1
+	})
+	Convey("A list of 98 pages that take half a call's time each is read at the start and by a review", t, func() {
+		So(errRegister, ShouldBeNil)
+		So(written, ShouldEqual, 1)
+		So(reviewed, ShouldBeTrue)
+	})
+}
