fix(carrier): let any balancer review the store entries

Cause: only the balancer of lowest address compared the entries in the store with the view. While the store turned away just that one, entries that a restore had taken stayed missing, and those of processes that were gone stayed.

Change: members.Reviews decides when a balancer begins: 2 s after a doubt and 3 s later for each balancer of a lower address. Who completes a review tells the others with KindEntriesReviewed, which settles the doubts that arose before that review began.

--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -55,6 +55,15 @@
 	KindAskConfirmation
 	// KindConfirmation answers KindAskConfirmation.
 	KindConfirmation
+	// KindEvacuations carries the evacuated failure domains.
+	KindEvacuations
+	// KindFindHolders asks an agent which of several flows its host holds.
+	KindFindHolders
+	// KindHolders answers KindFindHolders.
+	KindHolders
+	// KindEntriesReviewed tells other balancers that the sender has completed a review
+	// of the members' entries in the store.
+	KindEntriesReviewed
 )
 
 // ErrMalformed means that a message is too short or has an unknown value.
--- a/internal/protocol/waybill/waybill_test.go
+++ b/internal/protocol/waybill/waybill_test.go
@@ -59,6 +59,15 @@
 		So(version, ShouldEqual, uint64(1<<40))
 		So(ago, ShouldEqual, 1850*time.Millisecond)
 
+		for _, clean := range []bool{false, true} {
+			found, ago, err := DecodeEntriesReviewed(AppendEntriesReviewed(nil, clean, 70*time.Second))
+			So(err, ShouldBeNil)
+			So(found, ShouldEqual, clean)
+			So(ago, ShouldEqual, 70*time.Second)
+		}
+		_, _, err = DecodeEntriesReviewed(AppendEntriesReviewed(nil, true, 0)[:5])
+		So(err, ShouldEqual, ErrMalformed)
+
 		flow, certain, err := DecodeHeld(AppendHeld(nil, sampleFlow, true))
 		So(err, ShouldBeNil)
 		So(flow, ShouldResemble, sampleFlow)
@@ -150,5 +159,6 @@
 		_, _, _ = DecodeHeld(data)
 		_, _ = DecodeReport(data)
 		_, _ = DecodeRoutes(data)
+		_, _, _ = DecodeEntriesReviewed(data)
 	})
 }
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -20,11 +20,6 @@
 	// PageTimeout bounds the call for one page of a list of entries. The list itself
 	// takes as long as its pages do.
 	PageTimeout = callTimeout
-	// reviewDelay is the time from the reason for a review of the entries to the
-	// review. Processes that start write their entries within it.
-	reviewDelay = 2 * time.Second
-	// reviewInterval is the shortest time between two reviews.
-	reviewInterval = 20 * time.Second
 )
 
 // register writes the process's own entry. If readEntries is set it first reads
@@ -88,53 +83,15 @@
 	klog.InfoS("Store entry rewritten", "failures", bo.failures)
 }
 
-// reviewEntries compares the entries in the store with the view some time after the
-// start, and whenever a member was removed or the store was restored. Only the balancer
-// with the lowest address does so; the others check now and then whether they have
-// become that balancer.
-func (no *node) reviewEntries(ctx context.Context) error {
-	// The balancer that had to review them may have ended before it did.
-	afterStart := time.NewTimer(reviewInterval)
-	defer afterStart.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-afterStart.C:
-		case <-no.entriesDoubtful:
-		}
-		pause := reviewDelay
-		for reviewed := false; !reviewed; pause = reviewInterval {
-			if !sleepContext(ctx, pause) {
-				return nil
-			}
-			reviewed = no.hasLowestAddress() && no.reviewOnce(ctx)
-		}
-		if !sleepContext(ctx, reviewInterval) {
-			return nil
-		}
-	}
-}
-
-// hasLowestAddress reports whether no other balancer has a lower address.
-func (no *node) hasLowestAddress() bool {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	for _, re := range no.view.Records() {
-		if re.Role == members.RoleBalancer && re.Address.Compare(no.settings.Peers) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // reviewOnce removes the entries of removed members and tells the members that have no
 // entry to write theirs. It reports whether nothing was missing or failed. A failure
 // is logged only.
 func (no *node) reviewOnce(ctx context.Context) bool {
+	began := time.Now()
 	entries, err := no.store.ListEntries(ctx)
 	if err != nil {
 		klog.ErrorS(err, "Store entries not reviewed")
+		no.failReview()
 		return false
 	}
 	no.mu.Lock()
@@ -144,7 +101,12 @@
 	complete := no.removeEntriesOf(ctx, removed, entries)
 	klog.InfoS("Store entries reviewed", "entries", len(entries), "missing", missing, "removed", len(removed))
 	no.reportMissing(missing)
-	return complete && len(missing) == 0
+	if !complete {
+		no.failReview()
+		return false
+	}
+	no.completeReview(began, len(missing) == 0)
+	return len(missing) == 0
 }
 
 // membersWithoutEntry returns the addresses of the members, the process itself
--- a/internal/transport/carrier/entries_test.go
+++ b/internal/transport/carrier/entries_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
@@ -137,3 +138,74 @@
 		So(reviewed, ShouldBeTrue)
 	})
 }
+
+// reviewsOfTheSecond returns when the balancer with the second lowest address, which has
+// a doubt, lists the entries within 15 s. It calls meanwhile once a second.
+func reviewsOfTheSecond(t *testing.T, meanwhile func(no *node, second int)) []time.Duration {
+	t.Helper()
+	var reviews []time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+		defer cancel()
+		began := time.Now()
+		no := openNode(t, Store{ListEntries: func(context.Context) ([]Entry, error) {
+			reviews = append(reviews, time.Since(began))
+			return nil, nil
+		}})
+		no.onDeadline = func(time.Time) {}
+		no.onMemberChanged = func(time.Time, members.Record) {}
+		no.onMemberHeard = func(time.Time, netip.AddrPort) {}
+		lower := agentAt("126.0.0.1:8")
+		lower.Role = members.RoleBalancer
+		no.view.Handle(began, lower.Address, members.Message{Greeting: &members.Greeting{Record: lower}})
+		signal(no.entriesDoubtful)
+		go func() {
+			for second := 0; sleepContext(ctx, time.Second); second++ {
+				meanwhile(no, second)
+			}
+		}()
+		if err := no.reviewEntries(ctx); err != nil {
+			t.Fatal(err)
+		}
+	})
+	return reviews
+}
+
+// Guards against entries that stay missing while the store turns away just the balancer
+// of lowest address.
+func TestNextBalancerReviewsTheEntriesIfTheFirstDoesNot(t *testing.T) {
+	reviews := reviewsOfTheSecond(t, func(*node, int) {})
+	Convey("The balancer of rank 1 reviews the entries 3 s after it was the turn of the first", t, func() {
+		So(reviews, ShouldResemble, []time.Duration{5 * time.Second})
+	})
+}
+
+// Guards against one list of the entries for each balancer.
+func TestReviewOfAnotherBalancerIsEnough(t *testing.T) {
+	review := func(no *node, from string, clean bool) {
+		no.handleMessage(netip.MustParseAddrPort(from), waybill.AppendEntriesReviewed(nil, clean, time.Second))
+	}
+	Convey("A balancer that hears of a review by the first one", t, func() {
+		Convey("lists no entries if nothing was missing", func() {
+			So(reviewsOfTheSecond(t, func(no *node, second int) {
+				if second == 2 {
+					review(no, "126.0.0.1:8", true)
+				}
+			}), ShouldBeEmpty)
+		})
+		Convey("waits for the next one if something was missing", func() {
+			So(reviewsOfTheSecond(t, func(no *node, second int) {
+				if second == 2 {
+					review(no, "126.0.0.1:8", false)
+				}
+			}), ShouldBeEmpty)
+		})
+		Convey("lists them if an unknown process says so", func() {
+			So(reviewsOfTheSecond(t, func(no *node, second int) {
+				if second == 2 {
+					review(no, "126.0.0.1:9", true)
+				}
+			}), ShouldHaveLength, 1)
+		})
+	})
+}
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -53,6 +53,9 @@
 	routes *catalog.Routes
 	// former keeps the services that addresses had before.
 	former *catalog.FormerServices
+	// reviews decides when the process reviews the entries in the store. Only balancers
+	// do so.
+	reviews members.Reviews
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
@@ -83,6 +86,8 @@
 	// entriesDoubtful is signaled when the store may hold entries of processes that
 	// are gone, or lack entries of members.
 	entriesDoubtful chan struct{}
+	// reviewsChanged is signaled when another balancer has reviewed the entries.
+	reviewsChanged chan struct{}
 }
 
 // newNode opens the socket for messages between processes. The caller sets the
@@ -102,6 +107,7 @@
 		}),
 		entryMissing:    make(chan struct{}, 1),
 		entriesDoubtful: make(chan struct{}, 1),
+		reviewsChanged:  make(chan struct{}, 1),
 	}
 	no.timer = time.AfterFunc(math.MaxInt64, no.handleTimer)
 	return no, nil
@@ -207,6 +213,12 @@
 		if version, ago, err = waybill.DecodeConfirmation(datagram); err == nil {
 			no.performMemberActions(now, no.view.HandleConfirmation(from, version, now.Add(-ago)))
 		}
+	case waybill.KindEntriesReviewed:
+		var clean bool
+		var ago time.Duration
+		if clean, ago, err = waybill.DecodeEntriesReviewed(datagram); err == nil {
+			no.handleEntriesReviewed(now, from, clean, ago)
+		}
 	default:
 		no.onFlowMessage(now, from, datagram)
 	}
