fix(rollout): reserves watch the store while no watcher reaches it

Cause: a watcher that did not reach the store went on announcing its version, and reports counted as news too, so that no other instance read the root.

Change: an announcement says how long ago the store was read, and a watcher without an answer announces nothing. Once no announced read is younger than 9 s the next balancers of each failure domain watch the root, 250 ms apart. A watch waits 6 s instead of 30 s, as each answer proves that the store is in reach. Announcements are spread, so that of watchers that are answered together only the first ones announce.

--- a/internal/coordination/rollout/fetch.go
+++ b/internal/coordination/rollout/fetch.go
@@ -30,23 +30,33 @@
 	switch an.Result {
 	case archive.ResultDone:
 	case archive.ResultUnchanged:
+		re.read = now
 		re.noteVersion(now, re.state.Version())
 		if an.Object.Era != re.storeEra {
 			// The same version of another era: the root is read again.
 			re.storeVersion = 0
 		}
 		return nil
+	case archive.ResultNotFound:
+		re.read = now
+		re.watchAt = re.jitter(now, WatchRetry)
+		return nil
 	default:
 		re.watchAt = re.jitter(now, WatchRetry)
 		return nil
 	}
 	ro, err := change.DecodeRoot(an.Object.Value)
 	if err != nil {
+		re.read = now
 		re.watchAt = re.jitter(now, WatchRetry)
 		return re.notice(Notice{Kind: NoticeUntrusted, Reason: err.Error()})
 	}
 	re.storeVersion, re.storeEra = an.Object.Version, an.Object.Era
-	return re.compareRoot(now, ro)
+	actions := re.compareRoot(now, ro)
+	if re.fetch == nil {
+		re.read = now
+	}
+	return actions
 }
 
 // compareRoot compares the store's root with the version in force and starts to
@@ -124,6 +134,7 @@
 	sn.Trim()
 	before := re.state
 	actions := re.applySnapshot(now, sn)
+	re.read = now
 	if re.state == before {
 		return actions
 	}
@@ -133,8 +144,8 @@
 		}
 		return actions
 	}
-	re.announceAt = now
 	de, ok := change.NewDelta(before, re.state)
+	re.unspread = !ok
 	if !ok {
 		return actions
 	}
@@ -144,6 +155,7 @@
 	}
 	re.recent.add(de, body)
 	if len(body) > MaxDeltaBytes {
+		re.unspread = true
 		return actions
 	}
 	to := de.To()
--- a/internal/coordination/rollout/replica.go
+++ b/internal/coordination/rollout/replica.go
@@ -5,19 +5,12 @@
 	"net/netip"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"corneltiller.dev/corneltiller/internal/coordination/archive"
 	"corneltiller.dev/corneltiller/internal/coordination/change"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
-// announcement is the body of a watcher's announcement of its version.
-type announcement struct {
-	Version catalog.Version
-}
-
 // Prefixes of the keys of items.
 const (
 	// KeyDelta is the prefix of the keys of deltas.
@@ -73,8 +66,8 @@
 	peerAnswered bool
 	// holders are some instances that have the newest version in force, from the
 	// latest report whose newest version was the newest known.
-	holders    []netip.AddrPort
-	announceAt time.Time
+	holders []netip.AddrPort
+	freshness
 	// started is the time of the first tick. As the incarnation of published
 	// revisions it makes them newer than those from before a restart.
 	started    time.Time
@@ -98,6 +91,7 @@
 		random:        random,
 		view:          NewView(nil),
 		waitingDeltas: make(map[int]waitingDelta),
+		role:          role{rank: -1},
 		tally:         newTally(),
 	}
 }
@@ -107,7 +101,7 @@
 	return re.state
 }
 
-// IsWatcher reports whether the instance is one of those that watch the root
+// IsWatcher reports whether the instance is one of those that always watch the root
 // object.
 func (re *Replica) IsWatcher() bool {
 	return re.role.watches
@@ -136,7 +130,6 @@
 	if re.started.IsZero() {
 		re.started = now
 		re.readAt = re.jitter(now, ReadDelayMin)
-		re.announceAt = now
 	}
 	var actions []Action
 	actions = append(actions, re.watchRoot(now)...)
@@ -151,11 +144,11 @@
 func (re *Replica) nextTick(now time.Time) time.Time {
 	at := now.Add(ReportInterval)
 	due := []time.Time{re.readAt}
-	if re.role.watches {
+	if !re.announceAt.IsZero() {
 		due = append(due, re.announceAt)
-		if re.rootCall == 0 && re.fetch == nil {
-			due = append(due, re.watchAt)
-		}
+	}
+	if re.role.rank >= 0 && re.rootCall == 0 && re.fetch == nil {
+		due = append(due, re.watchAt, re.watchDue())
 	}
 	if re.isBehind() {
 		due = append(due, re.catchUpAt, re.behindSince.Add(CatchUpDelay))
@@ -177,7 +170,7 @@
 
 // watchRoot starts a watch of the root object if one is due.
 func (re *Replica) watchRoot(now time.Time) []Action {
-	if !re.role.watches || re.rootCall != 0 || re.fetch != nil || now.Before(re.watchAt) {
+	if !re.watches(now) || re.rootCall != 0 || re.fetch != nil || now.Before(re.watchAt) {
 		return nil
 	}
 	until := now.Add(WatchWait)
@@ -253,7 +246,7 @@
 // up. An instance that watches the root does not need to.
 func (re *Replica) readRoot(now time.Time) []Action {
 	catchUpFailed := re.state == nil && re.catchUps >= CatchUpsBeforeRead && re.reads == 0
-	if re.role.watches || re.rootCall != 0 || re.fetch != nil || !catchUpFailed && now.Before(re.readAt) {
+	if re.watches(now) || re.rootCall != 0 || re.fetch != nil || !catchUpFailed && now.Before(re.readAt) {
 		return nil
 	}
 	re.reads++
@@ -262,19 +255,6 @@
 	return []Action{re.callRoot(ca, now.Add(CallTimeout))}
 }
 
-// announce publishes the watcher's version in force if it is due.
-func (re *Replica) announce(now time.Time) []Action {
-	if !re.role.watches || re.state == nil || now.Before(re.announceAt) {
-		return nil
-	}
-	re.announceAt = re.jitter(now, AnnounceInterval/2)
-	body, err := cbor.Marshal(announcement{Version: re.state.Version()})
-	if err != nil {
-		return nil
-	}
-	return []Action{re.publish(KeyAnnouncement+re.self.Address.String(), body)}
-}
-
 // publish returns the action that publishes an item. This instance must be the
 // only one that publishes the key.
 func (re *Replica) publish(key string, body []byte) Action {
@@ -302,10 +282,7 @@
 	case hasPrefix(it.Key, KeyDelta):
 		actions = re.handleDelta(now, it.Body)
 	case hasPrefix(it.Key, KeyAnnouncement):
-		var an announcement
-		if cbor.Unmarshal(it.Body, &an) == nil {
-			re.noteVersion(now, an.Version)
-		}
+		re.handleAnnouncement(now, it.Body)
 	case hasPrefix(it.Key, KeySum):
 		re.handleSum(now, it.Body)
 	}
--- a/internal/coordination/rollout/role.go
+++ b/internal/coordination/rollout/role.go
@@ -76,7 +76,10 @@
 
 // role is the role of one instance, which follows from the view.
 type role struct {
-	// watches says that the instance watches the root object.
+	// rank is the instance's place among the balancers of its failure domain, from
+	// zero, -1 if it is none of them.
+	rank int
+	// watches says that the instance always watches the root object.
 	watches bool
 	// top says that the instance is the top of its failure domain's report tree
 	// and publishes the domain's sum.
@@ -95,11 +98,11 @@
 	at := slices.Index(order, self.Address)
 	switch {
 	case len(vi.members) == 0:
-		return role{}
+		return role{rank: -1}
 	case at < 0:
-		return role{parent: balancerFor(self, vi.members)}
+		return role{rank: -1, parent: balancerFor(self, vi.members)}
 	}
-	ro := role{watches: at < Watchers, top: at == 0}
+	ro := role{rank: at, watches: at < Watchers, top: at == 0}
 	if !ro.top {
 		ro.parent = order[(at-1)/FanOut]
 	}
--- a/internal/coordination/rollout/rollout.go
+++ b/internal/coordination/rollout/rollout.go
@@ -3,7 +3,8 @@
 //
 // Two balancers of each failure domain, chosen by rendezvous hashing, watch the
 // root object in the store. They publish each change as a delta, which the other
-// instances receive by gossip. An instance that misses a delta requests it from a
+// instances receive by gossip. They also announce when they last read the store. While
+// nobody has read it lately, the next balancers in that order watch it too. An instance that misses a delta requests it from a
 // peer, and one that learns of no version for ReadDelayMin, with jitter, reads
 // the root from the store. Reports of the versions in force are aggregated along a
 // tree within each failure domain.
@@ -38,8 +39,16 @@
 	Watchers = 2
 	// FanOut is the most children of a node of the report tree.
 	FanOut = 16
-	// WatchWait is how long one watch call waits for a change.
-	WatchWait = 30 * time.Second
+	// WatchWait is how long one watch call waits for a change. Each answer shows that
+	// the store is in reach, so it is well below StaleAfter.
+	WatchWait = 6 * time.Second
+	// StaleAfter is the age of the last known read of the store from which the
+	// balancers that come after the watchers of their failure domain watch it too, the
+	// first one at once and each next one ReserveStagger later. A change has to be in
+	// force everywhere within 19 s: this leaves 2 s for the gossip of the last read, 2 s for
+	// a reserve's call that is lost and 6 s for the gossip of the change.
+	StaleAfter     = 9 * time.Second
+	ReserveStagger = 250 * time.Millisecond
 	// WatchRetry is the least delay before a failed watch is tried again, up to
 	// twice as long with jitter.
 	WatchRetry = time.Second
@@ -51,9 +60,14 @@
 	firstPolls = 3
 	// CallTimeout bounds a read from the store, retries included.
 	CallTimeout = 10 * time.Second
-	// AnnounceInterval is the most time between two announcements of a watcher's
-	// version; with jitter it is at least half as long.
-	AnnounceInterval = 20 * time.Second
+	// AnnounceInterval is how much later than the last announced read of the store
+	// a read must be for it to be announced. Together with WatchWait it bounds
+	// the time between two announcements of a fleet.
+	AnnounceInterval = 4 * time.Second
+	// AnnounceSpread is the time over which the announcements of watchers that were
+	// answered together are spread. A change is answered to all of them at once, and
+	// so is the end of the watches after it.
+	AnnounceSpread = 1500 * time.Millisecond
 	// ReadDelayMin is how long an instance learns of no version before it reads
 	// the root from the store, up to twice as long with jitter.
 	ReadDelayMin = 90 * time.Second
--- a/internal/standin/spread/node.go
+++ b/internal/standin/spread/node.go
@@ -135,8 +135,17 @@
 	for _, ac := range actions {
 		switch ac.Kind {
 		case archive.ActionSend:
-			fl.sendStoreCall(ac, func(an archive.Answer) {
-				if alive() {
+			if no.StoreRejects {
+				an := archive.Answer{ID: ac.Call.ID, Attempt: ac.Attempt, Result: archive.ResultRefused}
+				fl.after(2*fl.latency(), func() {
+					if alive() {
+						fl.performClientActions(no, no.client.HandleAnswer(fl.Now, an))
+					}
+				})
+				continue
+			}
+			fl.sendStoreCall(no, ac, func(an archive.Answer) {
+				if alive() && !no.StoreLost && !no.StoreRejects {
 					fl.performClientActions(no, no.client.HandleAnswer(fl.Now, an))
 				}
 			})
--- a/internal/standin/spread/spread.go
+++ b/internal/standin/spread/spread.go
@@ -100,6 +100,9 @@
 	// Stopped makes the instance neither send nor receive messages and ignore the
 	// store's answers.
 	Stopped bool
+	// StoreLost makes the store leave the instance's calls unanswered, StoreRejects makes
+	// it refuse them.
+	StoreLost, StoreRejects bool
 
 	client *archive.Client
 	items  map[string]rollout.Item
--- a/internal/standin/spread/store.go
+++ b/internal/standin/spread/store.go
@@ -102,7 +102,7 @@
 
 // sendStoreCall sends one attempt of an instance's call to the store and delivers
 // the answer, unless the call or the answer is lost.
-func (fl *Fleet) sendStoreCall(ac archive.Action, answer func(archive.Answer)) {
+func (fl *Fleet) sendStoreCall(no *Node, ac archive.Action, answer func(archive.Answer)) {
 	lostBefore := fl.chance(fl.Options.StoreLossPercent)
 	lostAfter := fl.chance(fl.Options.StoreLossPercent)
 	reply := func(an archive.Answer) {
@@ -116,7 +116,7 @@
 			return
 		}
 		fl.countCall(ac.Call.Kind)
-		if fl.StoreDown {
+		if fl.StoreDown || no.StoreLost {
 			return
 		}
 		if ac.Call.Kind == archive.KindWatch {
