--- a/internal/state/settings/load.go
+++ b/internal/state/settings/load.go
@@ -19,13 +19,22 @@
 // of them, and the defaults are returned unchanged. Any other error means that the
 // file couldn't be read.
 func Load[T any](path string, defaults T) (T, error) {
-	data, err := readBounded(path)
+	data, err := Read(path)
 	if err != nil {
-		return defaults, errors.Wrap(err, "read settings")
+		return defaults, err
 	}
 	return Parse(path, data, defaults)
 }
 
+// Read returns the content of a settings file.
+func Read(path string) ([]byte, error) {
+	data, err := readBounded(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return data, nil
+}
+
 // Parse does what Load does with the content of a file. The name is used in the
 // faults only.
 func Parse[T any](name string, data []byte, defaults T) (T, error) {
