--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -61,8 +61,8 @@
 	KindFindHolders
 	// KindHolders answers KindFindHolders, and a KindFindHolder with a number.
 	KindHolders
-	// KindEntriesReviewed tells that a review of the members' entries is complete. It
-	// isn't used yet.
+	// KindEntriesReviewed tells other balancers that the sender has completed a review
+	// of the members' entries in the store.
 	KindEntriesReviewed
 )
 
--- a/internal/transport/carrier/entries.go
+++ b/internal/transport/carrier/entries.go
@@ -17,11 +17,9 @@
 	// hangs while the store becomes available again must not delay a process that
 	// starts.
 	callTimeout = 700 * time.Millisecond
-	// reviewDelay is the time from the reason for a review of the entries to the
-	// review. Processes that start write their entries within it.
-	reviewDelay = 2 * time.Second
-	// reviewInterval is the shortest time between two reviews.
-	reviewInterval = 20 * time.Second
+	// PageTimeout bounds the call for one page of a list of entries. The list itself
+	// takes as long as its pages do.
+	PageTimeout = callTimeout
 )
 
 // register writes the process's own entry. If readEntries is set it first reads
@@ -31,7 +29,7 @@
 	if !readEntries {
 		return no.writeEntry(ctx)
 	}
-	entries, err := no.listEntries(ctx)
+	entries, err := no.store.ListEntries(ctx)
 	if err != nil {
 		return err
 	}
@@ -99,13 +97,6 @@
 	return no.withdrawn
 }
 
-// listEntries reads all entries from the store.
-func (no *node) listEntries(ctx context.Context) ([]Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return no.store.ListEntries(ctx)
-}
-
 // writeEntry writes the process's own entry to the store.
 func (no *node) writeEntry(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -138,53 +129,15 @@
 	}
 }
 
-// reviewEntries compares the entries in the store with the view some time after the
-// start, and whenever a member was removed or the store was restored. Only the balancer
-// with the lowest address does so; the others check now and then whether they have
-// become that balancer.
-func (no *node) reviewEntries(ctx context.Context) error {
-	// The balancer that had to review them may have ended before it did.
-	afterStart := time.NewTimer(reviewInterval)
-	defer afterStart.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-afterStart.C:
-		case <-no.entriesDoubtful:
-		}
-		pause := reviewDelay
-		for reviewed := false; !reviewed; pause = reviewInterval {
-			if !sleepContext(ctx, pause) {
-				return nil
-			}
-			reviewed = no.hasLowestAddress() && no.reviewOnce(ctx)
-		}
-		if !sleepContext(ctx, reviewInterval) {
-			return nil
-		}
-	}
-}
-
-// hasLowestAddress reports whether no other balancer has a lower address.
-func (no *node) hasLowestAddress() bool {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	for _, re := range no.view.Records() {
-		if re.Role == members.RoleBalancer && re.Address.Compare(no.settings.Peers) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // reviewOnce removes the entries of removed members and tells the members that have no
 // entry to write theirs. It reports whether nothing was missing or failed. A failure
 // is logged only.
 func (no *node) reviewOnce(ctx context.Context) bool {
-	entries, err := no.listEntries(ctx)
+	began := time.Now()
+	entries, err := no.store.ListEntries(ctx)
 	if err != nil {
 		klog.ErrorS(err, "Store entries not reviewed")
+		no.failReview()
 		return false
 	}
 	no.mu.Lock()
@@ -194,7 +147,12 @@
 	complete := no.removeEntriesOf(ctx, removed, entries)
 	klog.InfoS("Store entries reviewed", "entries", len(entries), "missing", missing, "removed", len(removed))
 	no.reportMissing(missing)
-	return complete && len(missing) == 0
+	if !complete {
+		no.failReview()
+		return false
+	}
+	no.completeReview(began, len(missing) == 0)
+	return len(missing) == 0
 }
 
 // membersWithoutEntry returns the addresses of the members, the process itself
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -56,6 +56,9 @@
 	former *catalog.FormerServices
 	// evacuations is nil if evacuation is off.
 	evacuations *evacuation.Keeper
+	// reviews decides when the process reviews the entries in the store. Only balancers
+	// do so.
+	reviews members.Reviews
 	// timer calls handleTimer at wakeAt, which is zero while the timer isn't set.
 	timer  *time.Timer
 	wakeAt time.Time
@@ -95,6 +98,8 @@
 	// entriesDoubtful is signaled when the store may hold entries of processes that
 	// are gone, or lack entries of members.
 	entriesDoubtful chan struct{}
+	// reviewsChanged is signaled when another balancer has reviewed the entries.
+	reviewsChanged chan struct{}
 }
 
 // newNode opens the socket for messages between processes. The caller sets the
@@ -114,6 +119,7 @@
 		}),
 		entryMissing:    make(chan struct{}, 1),
 		entriesDoubtful: make(chan struct{}, 1),
+		reviewsChanged:  make(chan struct{}, 1),
 	}
 	if st.EvacuateWithin > 0 {
 		no.evacuations = evacuation.NewKeeper(st.Domain)
@@ -237,6 +243,12 @@
 		if pa, err = waybill.DecodeEvacuations(datagram); err == nil {
 			no.handleEvacuations(now, from, pa)
 		}
+	case waybill.KindEntriesReviewed:
+		var clean bool
+		var ago time.Duration
+		if clean, ago, err = waybill.DecodeEntriesReviewed(datagram); err == nil {
+			no.handleEntriesReviewed(now, from, clean, ago)
+		}
 	default:
 		no.onFlowMessage(now, from, datagram)
 	}
