fix(carriage): try a third host only after all agents have answered

The traces show four causes: a search sent the packet to three or more hosts that possibly held the flow before all agents were asked, among them the holder; it did so because the holder's question or answer was lost; two searches together sent three; and an agent that was restarted counted as silent, and as one of a former build, as its earlier process had left questions unanswered.

All searches of a balancer for a flow together now send its packet to two hosts within 2.2 s, and to a third only when all agents that may hold the flow have answered. While a candidate's answer is missing, one host is tried. An agent no longer has to answer if it is suspected, of a former build, or has left three messages unanswered for 150 ms. The hosts whose agents were restarted last come first, and of those restarted within a second the near ones. A restarted agent begins without unanswered questions.

The simulation gave all agent processes the same incarnation; it now gives each process its own, as the records of real agents have.

--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -57,8 +57,10 @@
 		pl.removeFromPool(ag)
 	}
 	if ag.revision.Incarnation != record.Incarnation {
-		// The agent was restarted, perhaps with another build.
+		// The agent was restarted, perhaps with another build. It doesn't answer what the
+		// earlier process was asked, and isn't silent for that reason.
 		ag.outbox.batches, ag.outbox.former = false, false
+		ag.outbox.inquiries = nil
 	}
 	ag.apply(record)
 	pl.addToPool(ag)
--- a/internal/coordination/carriage/questions.go
+++ b/internal/coordination/carriage/questions.go
@@ -39,6 +39,10 @@
 	maxUnanswered   = 2
 	stalledAfter    = 25 * time.Millisecond
 	stalledInterval = 100 * time.Millisecond
+	// An agent that has left silentUnanswered messages unanswered for silentAfter is taken
+	// to be down. Until then its answer may have been lost.
+	silentUnanswered = 3
+	silentAfter      = 150 * time.Millisecond
 )
 
 // Question asks about one flow.
@@ -110,17 +114,29 @@
 	}
 }
 
-// isStalled reports whether the agent leaves questions unanswered, and isn't known to be
-// of a former build.
-func (ob *outbox) isStalled(now time.Time) bool {
-	if ob.former || len(ob.inquiries) < maxUnanswered {
-		return false
+// isSilent reports whether the agent has left so many questions unanswered, for so long,
+// that it is taken to be down. With a loss of 5% one in a hundred agents seems stalled.
+func (ob *outbox) isSilent(now time.Time) bool {
+	return ob.unansweredFor(now, silentUnanswered) >= silentAfter
+}
+
+// unansweredFor returns for how long the agent hasn't answered, zero if it has left fewer
+// questions than the number unanswered.
+func (ob *outbox) unansweredFor(now time.Time, number int) time.Duration {
+	if len(ob.inquiries) < number {
+		return 0
 	}
 	since := ob.inquiries[0].sent
 	if ob.answered.After(since) {
 		since = ob.answered
 	}
-	return now.Sub(since) >= stalledAfter
+	return now.Sub(since)
+}
+
+// isStalled reports whether the agent leaves questions unanswered, and isn't known to be
+// of a former build.
+func (ob *outbox) isStalled(now time.Time) bool {
+	return !ob.former && ob.unansweredFor(now, maxUnanswered) >= stalledAfter
 }
 
 // noteHeard notes a message of the agent that is no answer to questions. An agent that is
@@ -294,7 +310,7 @@
 		return false
 	}
 	before := se.round
-	if len(se.possible) > 0 && se.tentative < se.limit(now, false) {
+	if len(se.possible) > 0 && pl.mayTry(now, tf, false) {
 		se.round = roundTryCandidates
 		if pl.tryNext(now, tf) {
 			return true
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -26,14 +26,19 @@
 	// first one after that starts another search, which passes over the hosts that
 	// declined the flow's packets before.
 	lostPause = 100 * time.Millisecond
-	// maxTentativeSearches is the number of searches for one flow that may send its packet
-	// to hosts within tentativeInterval before all agents have answered. Three packets of
-	// an open flow at other hosts within 2 s, and none at its own, break the flow.
-	maxTentativeSearches = 2
-	tentativeInterval    = 2200 * time.Millisecond
-	// maxTentativeCandidates is the number of candidates that such a search sends the
-	// packet to, unless all candidates have answered.
-	maxTentativeCandidates = 2
+	// maxEarlyTries is the number of hosts that all searches for a flow together may send
+	// its packet to within tentativeInterval before all agents have answered that may hold
+	// it. Three packets of an open flow at other hosts within 2 s, and none at its own,
+	// break the flow, and a search that misses the holder's answer tries the others.
+	maxEarlyTries     = 2
+	tentativeInterval = 2200 * time.Millisecond
+	// askedBeforeTries is the number of agents up to which all are asked before a third
+	// host is sent the packet, also if none of the candidates is certain. With more of them
+	// the questions after a restart of everything cost more than the searches gain.
+	askedBeforeTries = 64
+	// sameRestart is the distance between incarnations, in milliseconds, up to which agents
+	// count as restarted at the same time.
+	sameRestart = 1000
 	// possibleInterval is how long an agent that possibly holds the flow isn't asked again.
 	// After a restart of many agents these are so many that their answers, to each copy of
 	// each packet, would be most of the traffic.
@@ -119,10 +124,11 @@
 	possible, unlikely []*agent
 	excluded, declined []*agent
 	// tentative is the number of hosts that the packet was sent to; trying is the
-	// agent of the last one. tried are the times of the last searches that have sent one.
+	// agent of the last one. tried are the times of the last such packets of all searches
+	// for the flow, the oldest first.
 	tentative int
 	trying    netip.AddrPort
-	tried     [maxTentativeSearches]time.Time
+	tried     [maxEarlyTries]time.Time
 	// possibleUntil is until when the lists possible and unlikely are kept for the next
 	// search.
 	possibleUntil time.Time
@@ -162,8 +168,8 @@
 // setAnswer keeps the agent in the list of those that have given the answer.
 func (se *search) setAnswer(ag *agent, an absence.Answer) {
 	is := func(other *agent) bool { return other == ag }
-	if se.round == roundConfirm {
-		// Unless it is Absent now, it wasn't the host that declined the packet.
+	if se.round == roundConfirm && an != absence.Absent {
+		// It wasn't the host that declined the packet.
 		se.excluded = slices.DeleteFunc(se.excluded, is)
 	}
 	se.possible = slices.DeleteFunc(se.possible, is)
@@ -187,27 +193,10 @@
 	}
 }
 
-// limit returns how many hosts the search may send the packet to. Complete says that all
-// agents have answered which possibly hold the flow.
-func (se *search) limit(now time.Time, complete bool) int {
-	switch {
-	case complete:
-		return maxTentative
-	case se.tentative == 0 && now.Sub(se.tried[0]) < tentativeInterval:
-		return 0
-	case se.awaited.Len() > 0:
-		return maxTentativeCandidates
-	default:
-		return localCandidates + remoteCandidates
-	}
-}
-
 // noteTry notes that the packet is sent to the agent's host.
 func (se *search) noteTry(now time.Time, ag *agent) {
-	if se.tentative == 0 {
-		copy(se.tried[:], se.tried[1:])
-		se.tried[len(se.tried)-1] = now
-	}
+	copy(se.tried[:], se.tried[1:])
+	se.tried[len(se.tried)-1] = now
 	se.tentative++
 	se.trying = ag.address
 }
@@ -366,8 +355,8 @@
 func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
 	var ag *agent
-	complete := se.round == roundTryAll && pl.allAnswered(now, tf)
-	if se.tentative < se.limit(now, complete) {
+	complete := se.round == roundTryAll && pl.haveAnswered(now, se, pl.mayHold(now, tf.flow))
+	if pl.mayTry(now, tf, complete) {
 		ag = pl.nextPossible(se, &se.possible)
 	}
 	if ag == nil && len(se.possible) == 0 && complete && se.tentative < maxUnlikely {
@@ -383,13 +372,50 @@
 	return true
 }
 
-// allAnswered reports whether all agents that may hold the flow and aren't silent have
-// answered. An agent that doesn't take batches is of a former build and answers only if
-// its host may hold the flow.
-func (pl *Placer) allAnswered(now time.Time, tf *trackedFlow) bool {
-	for _, ag := range pl.mayHold(now, tf.flow) {
-		se := tf.search
-		if ag.outbox.batches && !ag.suspect && ag.report.State != register.StateGone && !se.absent.Has(ag.number) && !se.answered.Has(ag.number) {
+// mayTry reports whether the search may send the packet to another host. Complete says
+// that all agents have answered which may hold the flow.
+func (pl *Placer) mayTry(now time.Time, tf *trackedFlow, complete bool) bool {
+	se := tf.search
+	switch {
+	case complete:
+		return se.tentative < maxTentative
+	case se.round == roundTryAll:
+		return false
+	case !pl.haveAnswered(now, se, pl.candidateAgents(tf.flow)):
+		// A candidate that isn't silent may hold the flow, and is asked again.
+		return now.Sub(se.tried[maxEarlyTries-1]) >= tentativeInterval
+	default:
+		return now.Sub(se.tried[0]) >= tentativeInterval || se.tentative < localCandidates+remoteCandidates && pl.restartedTogether(now, tf)
+	}
+}
+
+// restartedTogether reports whether none of the flow's candidates is certain, as far as
+// they have answered: each has said that its host possibly holds the flow, or its host has
+// returned the packet. Nearly all agents then say so, and to ask them takes hundreds of
+// messages and leaves as many hosts to try.
+func (pl *Placer) restartedTogether(now time.Time, tf *trackedFlow) bool {
+	se := tf.search
+	if len(pl.mayHold(now, tf.flow)) <= askedBeforeTries {
+		return false
+	}
+	list := pl.candidateAgents(tf.flow)
+	for _, ag := range list {
+		tried := slices.Contains(se.excluded, ag) || se.trying == ag.address
+		if !tried && !ag.suspect && !slices.Contains(se.possible, ag) {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
+// haveAnswered reports whether all of the agents that aren't silent have answered. One of
+// a former build answers only if its host may hold the flow. An agent that was asked once
+// and hasn't answered isn't silent: the question or the answer was lost, and the next round
+// or the flow's next packet asks it again.
+func (pl *Placer) haveAnswered(now time.Time, se *search, list []*agent) bool {
+	for _, ag := range list {
+		silent := ag.suspect || ag.outbox.former || ag.outbox.isSilent(now) || ag.report.State == register.StateGone
+		if !silent && !se.absent.Has(ag.number) && !se.answered.Has(ag.number) {
 			return false
 		}
 	}
@@ -524,16 +550,31 @@
 }
 
 // nextPossible removes and returns the next agent of the list whose host didn't decline
-// the flow's packets, nil if none is left.
+// the flow's packets, nil if none is left. The agents that were restarted last come first:
+// the others have learned most flows that are in use at their hosts.
 func (pl *Placer) nextPossible(se *search, list *[]*agent) *agent {
-	for len(*list) > 0 {
-		ag := (*list)[0]
-		*list = (*list)[1:]
-		if pl.agents[ag.address] == ag && !slices.Contains(se.excluded, ag) {
-			return ag
+	*list = slices.DeleteFunc(*list, func(ag *agent) bool {
+		return pl.agents[ag.address] != ag || slices.Contains(se.excluded, ag)
+	})
+	if len(*list) == 0 {
+		return nil
+	}
+	last := uint64(0)
+	for _, ag := range *list {
+		last = max(last, ag.revision.Incarnation)
+	}
+	best := -1
+	for i, ag := range *list {
+		if last-ag.revision.Incarnation > sameRestart {
+			continue
+		}
+		if best < 0 || ag.domain == pl.domain && (*list)[best].domain != pl.domain {
+			best = i
 		}
 	}
-	return nil
+	ag := (*list)[best]
+	*list = slices.Delete(*list, best, best+1)
+	return ag
 }
 
 // HandleFindAnswer handles an answer of an agent of a former build: its host holds
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -123,6 +123,8 @@
 	domain  string
 	service string
 	gate    *Gate
+	// incarnation is that of the agent's records.
+	incarnation uint64
 	// agent says that the agent runs, alive that the host does.
 	agent, alive bool
 	// refusing says that the host returns every opening, breaking that it resets
@@ -272,7 +274,7 @@
 		if ho.gate != nil {
 			re := ho.gate.Report(si.now)
 			si.order++
-			list = append(list, Agent{Revision: register.Revision{Incarnation: 1, Sequence: uint64(si.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime})
+			list = append(list, Agent{Revision: register.Revision{Incarnation: ho.incarnation, Sequence: uint64(si.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime})
 		}
 	}
 	ba.placer.SetOtherBalancers(len(si.balancers) - 1)
@@ -341,6 +343,7 @@
 func (si *simulation) startAgent(i int) {
 	ho := si.hosts[i]
 	ho.agent = true
+	ho.incarnation = uint64(si.now.UnixMilli())
 	ho.gate = NewGate(si.now, GateSettings{
 		Service: ho.service, HostAddress: simHostAddress,
 		HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout,
