fix(carrier): openings that waited in a frozen balancer's socket are not reset

A balancer that had been frozen took the openings in its socket buffer for new ones and refused them at once. Another balancer had placed a later copy meanwhile, so the reset ended an open flow.

The kernel now notes when a caller's datagram arrives, and a flow counts as opened then: an opening that waited until its next copy was due is dropped, as any refusal without all copies.

--- a/internal/coordination/carriage/evacuation_test.go
+++ b/internal/coordination/carriage/evacuation_test.go
@@ -278,3 +278,21 @@
 		So(ga.Report(began.Add(time.Second)).State, ShouldEqual, register.StateDraining)
 	})
 }
+
+// A balancer that had been frozen refused openings that had waited in its socket. Another
+// balancer had placed a later copy meanwhile, so that the reset ended an open flow.
+func TestOpeningThatHasWaitedIsNotReset(t *testing.T) {
+	Convey("One that waited until the next copy was due is dropped, an earlier one reset", t, func() {
+		for wait, kind := range map[time.Duration]Kind{
+			0: KindReset, 100 * time.Millisecond: KindReset, 250 * time.Millisecond: KindDrop, 2 * time.Second: KindDrop,
+		} {
+			pl := placerWithDomains(PlacerSettings{}, "a")
+			pl.SetEvacuations(afterStartup, evacuated(2, "a"))
+			pk := openingOf(1)
+			pk.Wait = wait
+			list := pl.HandlePacket(afterStartup, pk, nil)
+			So(list, ShouldHaveLength, 1)
+			So(list[0].Kind, ShouldEqual, kind)
+		}
+	})
+}
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -58,6 +58,9 @@
 	// Acknowledged is the sequence number of the next byte that the sender waits
 	// for.
 	Acknowledged uint32
+	// Wait is how long a caller's packet had waited before the process handled it: long if
+	// the process was frozen.
+	Wait time.Duration
 }
 
 // Report is the state of a host as its agent reports it to balancers.
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -34,7 +34,7 @@
 		pl.forget(tf)
 	}
 	tf = &trackedFlow{
-		flow: pk.Flow, phase: phaseOpening, opened: now, service: service,
+		flow: pk.Flow, phase: phaseOpening, opened: now.Add(-pk.Wait), service: service,
 		copyNumber: pk.Copy, openingSequence: pk.Sequence, number: pk.Sequence,
 		opening: append([]byte(nil), data...), unconfirmed: pk.Copy > 0, index: -1,
 	}
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -25,9 +25,11 @@
 
 // trackedFlow is what a balancer knows of one flow.
 type trackedFlow struct {
-	flow   Flow
-	phase  phase
-	agent  *agent
+	flow  Flow
+	phase phase
+	agent *agent
+	// opened is when the first copy of the opening packet that the balancer has handled
+	// arrived.
 	opened time.Time
 	// opening is the opening packet until it is confirmed.
 	opening []byte
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -69,6 +69,7 @@
 		no.close()
 		return nil, err
 	}
+	requestArrivalTimes(callerConn)
 	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
 		AwaitEvacuations: no.evacuations != nil,
@@ -97,7 +98,7 @@
 	ready := ba.config.NewReadyHandler(ba.Ready)
 	return ba.run(ctx, lifecycle{
 		start: func(work context.Context, gr *errgroup.Group) {
-			gr.Go(func() error { return readDatagrams(ba.callerConn, ba.handleCallerPacket) })
+			gr.Go(func() error { return readWithWait(ba.callerConn, ba.handleCallerPacket) })
 			gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
@@ -151,13 +152,15 @@
 	ba.metrics.Set("Agents", int64(ba.view.Agents()))
 }
 
-// handleCallerPacket handles a caller's packet from the fabric.
-func (ba *Balancer) handleCallerPacket(_ netip.AddrPort, datagram []byte) {
+// handleCallerPacket handles a caller's packet from the fabric that has waited in the
+// socket.
+func (ba *Balancer) handleCallerPacket(_ netip.AddrPort, datagram []byte, wait time.Duration) {
 	pk, err := ba.config.Codec.DecodeCallerPacket(datagram)
 	if err != nil {
 		ba.metrics.Count("PacketsRefused", 1)
 		return
 	}
+	pk.Wait = wait
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	now := time.Now()
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -130,9 +130,15 @@
 // readDatagrams calls handle with each datagram until the socket is closed. The
 // datagram is valid until handle returns.
 func readDatagrams(conn *net.UDPConn, handle func(from netip.AddrPort, datagram []byte)) error {
-	buffer := make([]byte, maxDatagram)
+	return readWithWait(conn, func(from netip.AddrPort, datagram []byte, _ time.Duration) { handle(from, datagram) })
+}
+
+// readWithWait does the same and tells how long each datagram has waited in the socket,
+// if requestArrivalTimes was called for it.
+func readWithWait(conn *net.UDPConn, handle func(from netip.AddrPort, datagram []byte, wait time.Duration)) error {
+	buffer, control := make([]byte, maxDatagram), make([]byte, controlBytes)
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		n, controlled, _, from, err := conn.ReadMsgUDPAddrPort(buffer, control)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -142,7 +148,7 @@
 			klog.V(2).InfoS("Socket error", "err", err)
 			continue
 		}
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n], waitOf(time.Now(), control[:controlled]))
 	}
 }
 
