--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -17,6 +17,7 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/explain"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
 
@@ -87,6 +88,7 @@
 		ba.performFlowActions(now, ba.placer.SetEvacuations(now, set))
 	}
 	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
+	co.Metrics.Handle(explain.Path, explain.Handler(ba.explain))
 	return ba, nil
 }
 
