feat: limit the openings that cold hosts get

A host takes only a part of its usual rate for the first seconds after its start. Placing ranked cold hosts lower but did not limit them, so a burst after an evacuation or a loss of power went to cold hosts at once.

An agent hands its cold host at most that many openings in any sliding second (package warmup), copies included. The excess waits if it can be served in time and is declined as Warming otherwise. Balancers keep to an equal share of the limit among those that take new work, at least one opening a second; hosts at their limit are skipped (explained as WarmingLimit) while another one takes new flows. Hosts count as cold after an evacuation, and after an agent's restart beside them, until their next check-in.

The tests of agreement of ranking and explanation passed with 20,000 inputs.

--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/warmup"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
@@ -63,6 +64,10 @@
 	suspect bool
 	// evacuated says that the agent's failure domain is evacuated.
 	evacuated bool
+	// presumedCold is until when the host counts as cold after an evacuation, zero once the
+	// agent has reported. sentCold counts the openings sent to the host.
+	presumedCold time.Time
+	sentCold     warmup.Limiter
 	// pings is the number of pings sent since the agent was suspected; index is its
 	// position in the schedule of pings, -1 if it isn't in it.
 	pings    int
@@ -126,6 +131,7 @@
 	}
 	ag.report = re
 	ag.reported = now
+	ag.presumedCold = time.Time{}
 	ag.sent = 0
 	pl.markAlive(now, ag)
 	return ag
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -41,6 +41,7 @@
 	ga.presumed = false
 	ga.gone = false
 	ga.host = ci
+	ga.presumedCold = time.Time{}
 	ga.checkedIn = now
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
@@ -81,6 +82,7 @@
 	ga.known = true
 	ga.presumed = true
 	ga.host = CheckIn{Service: ga.service, Slots: presumedSlots}
+	ga.presumeCold(now)
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
 	return ga.actions
--- a/internal/coordination/carriage/evacuation.go
+++ b/internal/coordination/carriage/evacuation.go
@@ -15,7 +15,11 @@
 	pl.evacuations = set
 	pl.awaitsEvacuations = false
 	for _, ag := range pl.agents {
+		was := ag.evacuated
 		ag.evacuated = set.Contains(ag.domain)
+		if was && !ag.evacuated {
+			pl.presumeCold(now, ag)
+		}
 	}
 	pl.unpark(now)
 	return pl.actions
@@ -25,9 +29,12 @@
 // and, unless evacuation is off, the evacuated domains.
 func (pl *Placer) informed() bool { return pl.routes != nil && !pl.awaitsEvacuations }
 
-// reasonNoHost returns why no host takes the opening: hosts of its service are evacuated
-// and none is left elsewhere, or there is no host.
+// reasonNoHost returns why no host takes the opening: cold hosts have declined it, hosts of
+// its service are evacuated and none is left elsewhere, or there is no host.
 func (pl *Placer) reasonNoHost(tf *trackedFlow) Reason {
+	if len(tf.warming) > 0 {
+		return ReasonWarming
+	}
 	evacuated := len(tf.evacuated) > 0
 	for _, ag := range pl.pools[tf.service] {
 		if ag.takesNewFlows() && !slices.Contains(tf.evacuated, ag.domain) {
@@ -50,6 +57,9 @@
 		return ga.actions
 	}
 	ga.evacuated = evacuated
+	if !evacuated {
+		ga.presumeCold(now)
+	}
 	ga.announceIfChanged(now)
 	ga.serveQueue(now)
 	return ga.actions
--- a/internal/coordination/carriage/explain.go
+++ b/internal/coordination/carriage/explain.go
@@ -46,6 +46,7 @@
 	skipSuspected: "Suspected",
 	skipState:     "TakesNoFlows",
 	skipEvacuated: "Evacuated",
+	skipWarming:   "WarmingLimit",
 }
 
 // HostExplanation is one host with the inputs of its evaluation.
@@ -148,7 +149,7 @@
 	best := ra.best()
 	switch {
 	case best != nil:
-		ex.Kind, ex.Choice, ex.Mode = KindForward, best.address, ra.flow.modeAt(now, best)
+		ex.Kind, ex.Choice, ex.Mode = KindForward, best.address, pl.modeAt(now, ra.flow, best)
 	case pl.mayBecomeAvailable(now, ex.Service):
 		pl.explainParking(now, ex, ra.flow)
 	default:
--- a/internal/coordination/carriage/explain_test.go
+++ b/internal/coordination/carriage/explain_test.go
@@ -25,6 +25,10 @@
 	sent      int
 	suspect   bool
 	retrySlow time.Duration
+	// presumedCold is for how long the host still counts as cold after an evacuation, and
+	// sentCold when the last openings were sent to it.
+	presumedCold time.Duration
+	sentCold     []time.Duration
 }
 
 // drawnView is a balancer's view. A placer is made from it as often as needed.
@@ -42,6 +46,8 @@
 	evacuated  []string
 	// openings is the number of openings that the balancer has handled before.
 	openings int
+	// sharing is the number of other balancers that share the warm-up limit.
+	sharing int
 }
 
 func drawHost(rt *rapid.T, i int) drawnHost {
@@ -63,6 +69,14 @@
 		suspect:   rapid.IntRange(0, 3).Draw(rt, "suspect") == 0,
 		retrySlow: time.Duration(rapid.IntRange(-1, 1).Draw(rt, "retrySlow")) * time.Second,
 	}
+	if rapid.IntRange(0, 3).Draw(rt, "presumed") == 0 {
+		ho.presumedCold = time.Second
+	}
+	for range rapid.IntRange(0, 3).Draw(rt, "sentCold") {
+		ho.sentCold = append(ho.sentCold, drawBeyond(rt, "sentColdAge", time.Second))
+	}
+	slices.Sort(ho.sentCold)
+	slices.Reverse(ho.sentCold)
 	ho.agent.Incarnation = 1
 	ho.agent.State, ho.agent.Slots, ho.agent.ServiceTime = ho.report.State, ho.report.Slots, ho.report.ServiceTime
 	return ho
@@ -96,6 +110,10 @@
 				{Service: simOtherService, Weight: uint32(rapid.IntRange(0, 1).Draw(rt, "otherWeight"))},
 			}},
 		}}
+		if rate := rapid.SampledFrom([]float64{0, 1, 2, 6}).Draw(rt, "warmUpPerSecond"); rate > 0 {
+			vi.routes.WarmUps = map[string]catalog.WarmUp{simService: {Duration: 2 * time.Second, PerSecond: rate}}
+		}
+		vi.sharing = rapid.IntRange(0, 3).Draw(rt, "sharing")
 	}
 	// All agents of a service are silent when a balancer is isolated.
 	silent := rapid.SampledFrom([]string{"", simService, simOtherService, "third"}).Draw(rt, "silentService")
@@ -112,6 +130,7 @@
 	now := began.Add(vi.age)
 	pl := NewPlacer(began, PlacerSettings{Domain: "a", OpeningTimeout: simOpeningTimeout, AwaitEvacuations: vi.evacuation})
 	pl.SetOtherBalancers(vi.balancers)
+	pl.SetSharingBalancers(vi.sharing)
 	if vi.evacuated != nil {
 		set, _ := evacuation.NewSet(evacuation.Origin{Revision: 1}, vi.evacuated)
 		pl.SetEvacuations(began, set)
@@ -134,6 +153,12 @@
 		if ho.suspect {
 			pl.suspectAgent(now.Add(-vi.silence), ag)
 		}
+		for _, age := range ho.sentCold {
+			ag.sentCold.Add(now.Add(-age), pl.coldShare(ag.service))
+		}
+		if ho.presumedCold > 0 {
+			ag.presumedCold = now.Add(ho.presumedCold)
+		}
 		ag.sent = ho.sent
 		ag.retrySlow = now.Add(ho.retrySlow)
 		ag.report.ServiceTime = ho.report.ServiceTime * 2
@@ -239,6 +264,14 @@
 	return !ho.Ranked || math.Abs(ho.Cost-costOfInputs(ho)) < 1e-9
 }
 
+// anyBelowLimit reports whether a host of the service takes new flows and is below its
+// warm-up limit.
+func anyBelowLimit(pl *Placer, now time.Time, service string) bool {
+	return slices.ContainsFunc(pl.pools[service], func(ag *agent) bool {
+		return ag.takesNewFlows() && !ag.isAtWarmUpLimit(now, pl.coldShare(service))
+	})
+}
+
 // It guards against a host that is missing in the explanation, whose reason contradicts
 // its inputs, or whose inputs aren't those of which its cost is made.
 func TestExplanationOfEachHost(t *testing.T) {
@@ -264,6 +297,9 @@
 				fits = ag.evacuated && !ag.suspect && !ho.Ranked
 			case "TakesNoFlows":
 				fits = !ho.State.TakesNewWork() && ho.State != register.StateDraining && !ho.Ranked
+			case "WarmingLimit":
+				fits = ag.isAtWarmUpLimit(now, pl.coldShare(ag.service)) && !ag.suspect && !ag.evacuated &&
+					ho.State.TakesNewWork() && !ho.Ranked && (ex.Kind != KindForward || ex.Hosts[0].State.TakesNewWork())
 			case HostDraining:
 				fits = ho.State == register.StateDraining && ho.Cost >= ex.Hosts[0].Cost
 			case HostNotCandidate:
@@ -277,6 +313,10 @@
 			case HostOtherService:
 				fits = ho.Service != ex.Service && !ho.Ranked
 			}
+			if ho.Service == ex.Service && ho.Ranked && ho.State.TakesNewWork() && anyBelowLimit(pl, now, ex.Service) &&
+				ag.isAtWarmUpLimit(now, pl.coldShare(ag.service)) {
+				rt.Fatalf("a host at its warm-up limit is ranked beside one below it: %+v of %+v", ho, ex)
+			}
 			if ho.Service == ex.Service && !inputsFit(&ex, &ho) {
 				rt.Fatalf("the inputs don't fit the cost: %+v of %+v", ho, ex)
 			}
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/warmup"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -90,6 +91,10 @@
 	drainStart    time.Time
 	// evacuated says that the failure domain of the agent is evacuated.
 	evacuated bool
+	// presumedCold is until when the host counts as cold by presumption, zero once it has
+	// checked in. handedOver counts the openings that the host got.
+	presumedCold time.Time
+	handedOver   warmup.Limiter
 	// lastHeard is when the host last checked in or sent a packet.
 	lastHeard time.Time
 	// unanswered counts the openings delivered since the host was last heard; the
@@ -193,7 +198,7 @@
 		return 0
 	case ga.agentDraining || ga.host.Draining:
 		return register.StateDraining
-	case now.Before(ga.host.WarmAt):
+	case now.Before(ga.coldUntil()):
 		return register.StateWarming
 	default:
 		return register.StateReady
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/warmup"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
@@ -14,11 +15,21 @@
 		ga.decline(fp, data, ReasonEvacuated)
 		return
 	}
-	if hf == nil || hf.stage >= stageTentative || hf.closed || hf.openingSequence != fp.Sequence {
+	if ga.serveQueueOfColdHost(now) {
+		hf, _ = ga.flows.get(now, fp.Flow)
+	}
+	known := hf.isOpenedBy(fp)
+	if !known {
 		if re := ga.declineReason(now, fp); re != ReasonNone {
 			ga.decline(fp, data, re)
 			return
 		}
+	}
+	if !ga.mayHandOver(now) {
+		ga.holdBack(now, fp, data, known)
+		return
+	}
+	if !known {
 		if ga.inProgress >= ga.limit() {
 			ga.enqueue(now, fp, data)
 			return
@@ -28,6 +39,12 @@
 	ga.deliverOpening(now, fp, data, hf)
 }
 
+// isOpenedBy reports whether the opening packet is a copy of the one that opened the flow
+// at the host. It reports false for no flow.
+func (hf *hostFlow) isOpenedBy(fp ForwardedPacket) bool {
+	return hf != nil && hf.stage < stageTentative && !hf.closed && hf.openingSequence == fp.Sequence
+}
+
 // admit returns a new flow in place of the former one between the same addresses,
 // nil if there was none.
 func (ga *Gate) admit(now time.Time, fp ForwardedPacket, former *hostFlow) *hostFlow {
@@ -53,21 +70,30 @@
 // enqueue queues an opening and confirms it to the balancer. It declines the
 // opening if the queue is full or the wait would exceed the caller's timeout.
 func (ga *Gate) enqueue(now time.Time, fp ForwardedPacket, data []byte) {
-	var route catalog.Route
-	if ga.routes != nil {
-		route = ga.routes.Addresses[fp.Service]
-	}
 	// A copy of a queued opening is confirmed as well, or its balancer would send
 	// it to another host.
-	if !ga.queue.contains(fp.Flow) && !ga.queue.add(now, fp, data, route, ga.limit()) {
+	if !ga.queue.contains(fp.Flow) && !ga.queue.add(now, fp, data, ga.routeOf(fp), ga.limit()) {
 		ga.decline(fp, data, ReasonFull)
 		return
 	}
+	ga.confirmQueued(fp)
+}
+
+// confirmQueued confirms an opening that waits to its balancer.
+func (ga *Gate) confirmQueued(fp ForwardedPacket) {
 	ga.actions = append(ga.actions, Action{
 		Kind: KindConfirm, To: fp.From, Flow: fp.Flow, Reason: ReasonBusy, InProgress: float64(ga.InProgress()),
 	})
 }
 
+// routeOf returns the route of the packet's address, zero if it is unknown.
+func (ga *Gate) routeOf(fp ForwardedPacket) catalog.Route {
+	if ga.routes == nil {
+		return catalog.Route{}
+	}
+	return ga.routes.Addresses[fp.Service]
+}
+
 // serveQueue delivers queued openings while the host has room. It declines those
 // whose callers are about to give up, and all if the host takes no new flows.
 func (ga *Gate) serveQueue(now time.Time) {
@@ -84,13 +110,18 @@
 		}
 		return
 	}
-	for ga.inProgress < ga.limit() {
+	for ga.inProgress < ga.limit() && ga.mayHandOver(now) {
 		it, ok := ga.queue.next(now)
 		if !ok {
 			return
 		}
 		former, _ := ga.flows.get(now, it.packet.Flow)
-		ga.deliverOpening(now, it.packet, it.data, ga.admit(now, it.packet, former))
+		switch {
+		case !it.known:
+			ga.deliverOpening(now, it.packet, it.data, ga.admit(now, it.packet, former))
+		case former.isOpenedBy(it.packet):
+			ga.deliverOpening(now, it.packet, it.data, former)
+		}
 	}
 }
 
@@ -113,6 +144,7 @@
 // deliverOpening delivers an opening to the host.
 func (ga *Gate) deliverOpening(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
 	hf.balancer = fp.From
+	ga.handedOver.Add(now, warmup.Limit(ga.warmUp().PerSecond))
 	if hf.stage == stagePending {
 		ga.handshakes = append(ga.handshakes, hf)
 		if ga.unanswered == 0 {
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -127,6 +127,9 @@
 	// ReasonEvacuated says that the failure domain of the host is evacuated, or that the
 	// hosts of the service that are left are in evacuated domains.
 	ReasonEvacuated
+	// ReasonWarming says that the host is cold and gets no more openings than its warm-up
+	// limit, and that the opening can't wait until it may get it.
+	ReasonWarming
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -134,7 +137,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"None", "Busy", "Draining", "HostUnknown", "WrongService", "NoRoute", "HostRefused",
-	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated", "Evacuated",
+	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated", "Evacuated", "Warming",
 }
 
 // String returns the reason's name.
--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -161,6 +161,7 @@
 	tf.tried = tf.tried[:0]
 	tf.busy = tf.busy[:0]
 	tf.evacuated = nil
+	tf.warming = nil
 	pl.place(now, tf)
 }
 
@@ -174,10 +175,11 @@
 }
 
 // hasRoom reports whether a host of the service that takes new flows is estimated
-// to have less than flowsPerSlot requests for each slot.
+// to have less than flowsPerSlot requests for each slot and is below its warm-up limit.
 func (pl *Placer) hasRoom(now time.Time, service string) bool {
+	share := pl.coldShare(service)
 	for _, ag := range pl.pools[service] {
-		if ag.takesNewFlows() && ag.estimate(now) < float64(flowsPerSlot*ag.report.Slots) {
+		if ag.takesNewFlows() && !ag.isAtWarmUpLimit(now, share) && ag.estimate(now) < float64(flowsPerSlot*ag.report.Slots) {
 			return true
 		}
 	}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -58,6 +58,8 @@
 	evacuations       evacuation.Set
 	awaitsEvacuations bool
 	parking           parking
+	// sharing is the number of other balancers that take new work.
+	sharing int
 	isolation
 	agents map[netip.AddrPort]*agent
 	// pools holds the agents of each service, sorted by address.
@@ -251,6 +253,9 @@
 	case ReasonBusy:
 		tf.busy = append(tf.busy, from)
 		pl.place(now, tf)
+	case ReasonWarming:
+		tf.noteWarming(ag)
+		pl.place(now, tf)
 	case ReasonFull:
 		pl.refuseOpening(now, tf, why)
 	case ReasonEvacuated:
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -77,11 +77,15 @@
 		pl.parkOrRefuse(now, tf)
 		return
 	}
-	pl.attempt(now, tf, ag, tf.modeAt(now, ag))
+	pl.attempt(now, tf, ag, pl.modeAt(now, tf, ag))
 }
 
-// modeAt returns the mode in which the opening is sent to the agent.
-func (tf *trackedFlow) modeAt(now time.Time, ag *agent) DeliveryMode {
+// modeAt returns the mode in which the opening is sent to the agent. A cold host at its
+// warm-up limit is asked to queue it, as it is chosen only if no other host is left.
+func (pl *Placer) modeAt(now time.Time, tf *trackedFlow, ag *agent) DeliveryMode {
+	if ag.isAtWarmUpLimit(now, pl.coldShare(ag.service)) {
+		return DeliverOrQueue
+	}
 	if len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots) {
 		return DeliverIfFree
 	}
@@ -99,7 +103,9 @@
 func (pl *Placer) sendOpening(now time.Time, tf *trackedFlow, ag *agent, mode DeliveryMode) {
 	tf.agent = ag
 	tf.extended = false
+	tf.mode = mode
 	ag.sent++
+	ag.sentCold.Add(now, pl.coldShare(ag.service))
 	pl.postponeSlowRetry(now, ag)
 	pl.forward(ag, tf.flow, tf.opening, Action{
 		Mode: mode, ServiceHash: serviceHash(tf.service), Opening: true, Attempt: len(tf.tried),
--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -65,6 +65,7 @@
 	ag.revision = record.Revision
 	ag.service, ag.domain = record.Service, record.Domain
 	ag.report.State = record.State
+	ag.presumedCold = time.Time{}
 	if record.Slots > 0 {
 		ag.report.Slots = record.Slots
 	}
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -25,6 +25,8 @@
 	target   time.Time
 	expires  time.Time
 	priority uint8
+	// known says that the host had got a copy of the opening when this one was queued.
+	known bool
 }
 
 // queue holds the openings that wait while the load exceeds what a host can
--- a/internal/coordination/carriage/ranking.go
+++ b/internal/coordination/carriage/ranking.go
@@ -21,6 +21,9 @@
 	skipState
 	// skipEvacuated is a host whose failure domain is evacuated.
 	skipEvacuated
+	// skipWarming is a cold host that has got the balancer's share of its warm-up limit.
+	// It isn't skipped if no other host takes new flows: it is asked to queue the opening.
+	skipWarming
 
 	// skipReasonCount is the number of reasons.
 	skipReasonCount
@@ -50,6 +53,9 @@
 	// first is the position in the pool of the host that is evaluated first. It
 	// depends on the flow, so that hosts of equal cost get equal shares.
 	first int
+	// share is the balancer's share of the warm-up limit by which hosts are skipped, zero
+	// if none are.
+	share int
 }
 
 // rank returns the ranking of the hosts of the flow's service, given their median
@@ -59,10 +65,24 @@
 	if len(ra.pool) > 0 {
 		ra.preferred = pl.candidatesOf(tf.flow, tf.service)
 		ra.first = int(tf.flow.Hash() % uint64(len(ra.pool)))
+		ra.share = pl.coldShare(tf.service)
+		if ra.share > 0 && !ra.hasHostBelowLimit() {
+			ra.share = 0
+		}
 	}
 	return ra
 }
 
+// hasHostBelowLimit reports whether a host that takes new flows isn't skipped.
+func (ra *ranking) hasHostBelowLimit() bool {
+	for _, ag := range ra.pool {
+		if ag.takesNewFlows() && ra.skipReasonOf(ag) == skipNone {
+			return true
+		}
+	}
+	return false
+}
+
 // hostAt evaluates the i-th host in the order of the flow.
 func (ra *ranking) hostAt(i int) evaluation {
 	ag := ra.pool[(ra.first+i)%len(ra.pool)]
@@ -85,6 +105,8 @@
 		return skipEvacuated
 	case !ag.report.State.TakesNewWork() && ag.report.State != register.StateDraining:
 		return skipState
+	case ag.isAtWarmUpLimit(ra.now, ra.share):
+		return skipWarming
 	default:
 		return skipNone
 	}
--- a/internal/coordination/carriage/ranking_test.go
+++ b/internal/coordination/carriage/ranking_test.go
@@ -64,6 +64,34 @@
 	})
 }
 
+// It guards against cold hosts that are passed over although no other host takes flows, or
+// chosen above their limit although another does.
+func TestRankingSkipsColdHostsAtTheirLimit(t *testing.T) {
+	Convey("Cold hosts at their limit are skipped while another host takes new flows", t, func() {
+		pl := newBenchPlacer(4)
+		pl.SetRoutes(began, warmUpRoutes(1))
+		pool := pl.pools[simService]
+		tf := &trackedFlow{flow: benchFlow(1), service: simService}
+		for _, ag := range pool[:3] {
+			ag.report.State = register.StateWarming
+			ag.sentCold.Add(began, 1)
+		}
+		list := evaluations(pl, tf)
+		for _, ag := range pool[:3] {
+			So(list[ag.address].skip, ShouldEqual, skipWarming)
+		}
+		So(list[pool[3].address].skip, ShouldEqual, skipNone)
+		So(testing.AllocsPerRun(100, func() { pl.choose(began, tf) }), ShouldEqual, 0)
+
+		pool[3].report.State = register.StateDraining
+		list = evaluations(pl, tf)
+		for _, ag := range pool {
+			So(list[ag.address].skip, ShouldEqual, skipNone)
+		}
+		So(pl.choose(began, tf).report.State, ShouldEqual, register.StateWarming)
+	})
+}
+
 // It guards against a ranking that disagrees with the choice made from it.
 func TestChoiceIsOfLeastCost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -46,6 +46,10 @@
 	// of them that declined it because their hosts were busy.
 	tried []netip.AddrPort
 	busy  []netip.AddrPort
+	// mode is the mode in which the opening was sent last; warming are the agents that
+	// declined to queue it because their hosts are cold.
+	mode    DeliveryMode
+	warming []netip.AddrPort
 	// unconfirmed says that a host may have accepted the opening, or may still do
 	// so, without its confirmation being known here.
 	unconfirmed bool
@@ -124,6 +128,9 @@
 	if slices.Contains(tf.evacuated, ag.domain) {
 		return true
 	}
+	if tf.hasDeclinedToQueue(ag) {
+		return true
+	}
 	if len(tf.busy) >= maxOffers && slices.Contains(tf.busy, ag.address) {
 		return false
 	}
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -18,6 +18,39 @@
 	HealthPaths map[string]string
 	// IdleTimeout is how long a flow may be idle before its state may be removed.
 	IdleTimeout time.Duration
+	// WarmUps are the limits of the services whose hosts can take only a part of their
+	// usual rate while they are cold, by the service's name. It is nil if none has one.
+	WarmUps map[string]WarmUp
+}
+
+// The greatest values of a WarmUp. Greater ones come from a faulty configuration.
+const (
+	MaxWarmUpDuration  = time.Hour
+	MaxWarmUpPerSecond = 100_000
+)
+
+// WarmUp is the limit of a service's hosts while they are cold.
+type WarmUp struct {
+	// Duration is how long a host is cold after it starts, zero if unknown.
+	Duration time.Duration
+	// PerSecond is the number of requests that a cold host can take in a second.
+	PerSecond float64
+}
+
+// IsValid reports whether the warm-up sets a limit within the greatest values.
+func (wu WarmUp) IsValid() bool {
+	return wu.PerSecond > 0 && wu.PerSecond <= MaxWarmUpPerSecond && wu.Duration >= 0 && wu.Duration <= MaxWarmUpDuration
+}
+
+// WithWarmUpsOf returns the routes, with the warm-up limits of the others of the same
+// version if it has none itself.
+func (ro *Routes) WithWarmUpsOf(other *Routes) *Routes {
+	if len(ro.WarmUps) > 0 || len(other.WarmUps) == 0 {
+		return ro
+	}
+	merged := *ro
+	merged.WarmUps = other.WarmUps
+	return &merged
 }
 
 // Route says which services get the new flows to one address, and how urgent
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -56,6 +56,8 @@
 	// lastPacket is when the last packet of a caller arrived, zero if none did.
 	lastPacket time.Time
 	draining   bool
+	// sharing are the other balancers that take new work.
+	sharing map[netip.AddrPort]struct{}
 }
 
 // OpenBalancer opens the UDP sockets of a balancer. An error names the address
@@ -71,7 +73,7 @@
 		return nil, err
 	}
 	requestArrivalTimes(callerConn)
-	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
+	ba := &Balancer{node: no, config: co, callerConn: callerConn, sharing: make(map[netip.AddrPort]struct{}), placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
 		AwaitEvacuations: no.evacuations != nil,
 	})}
@@ -133,6 +135,7 @@
 func (ba *Balancer) setMember(now time.Time, re members.Record) {
 	ba.countMembers()
 	if re.Role != members.RoleAgent {
+		ba.setSharing(re.Address, re.Role == members.RoleBalancer && re.State.TakesNewWork())
 		return
 	}
 	ba.performFlowActions(now, ba.placer.SetAgent(now, carriage.Agent{
@@ -145,9 +148,21 @@
 // held.
 func (ba *Balancer) removeMember(address netip.AddrPort) {
 	ba.countMembers()
+	ba.setSharing(address, false)
 	ba.placer.RemoveAgent(address)
 }
 
+// setSharing notes whether another balancer takes new work, and so shares the warm-up
+// limits with this one.
+func (ba *Balancer) setSharing(address netip.AddrPort, sharing bool) {
+	if sharing {
+		ba.sharing[address] = struct{}{}
+	} else {
+		delete(ba.sharing, address)
+	}
+	ba.placer.SetSharingBalancers(len(ba.sharing))
+}
+
 // countMembers passes the number of other balancers to the placer.
 func (ba *Balancer) countMembers() {
 	ba.placer.SetOtherBalancers(ba.view.Balancers())
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -335,15 +335,16 @@
 		klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", before, "source", source)
 		return
 	case ro.Version == before && no.routes != nil:
-		// A member may know more former services of the same version.
-		no.routes = no.former.Succeed(now, ro, no.routes)
+		// A member may know more former services of the same version, and the warm-up
+		// limits, which a former build that read it from the store leaves out.
+		no.routes = no.former.Succeed(now, ro, no.routes.WithWarmUpsOf(ro))
 	default:
 		no.routes = no.former.Succeed(now, no.routes, ro)
 	}
 	no.onRoutes(now, no.routes)
 	no.metrics.Set("ConfigurationVersion", int64(ro.Version))
 	klog.InfoS("Configuration in force", "version", ro.Version, "before", before,
-		"addresses", len(ro.Addresses), "source", source)
+		"addresses", len(ro.Addresses), "warmUps", len(no.routes.WarmUps), "source", source)
 }
 
 // publish puts routes from the store in force, if they are newer, and sends them to
