test: bursts on cold hosts, the spread of a set, replaced hosts

The limit of cold hosts and the spread of evacuations were tested by parts only. Simulations in virtual time now take back an evacuation with all hosts cold under bursts, replace hosts and agents during an evacuation, restart everything while the store is away, and spread a set with lost datagrams and a cut link. TestWarmUpPath runs the limit from the store to the hosts.

The burst showed refusals that left an agent up to 20 ms after their time, when the caller had given up: 14 to 22 of about 2,400 callers got no answer. While openings wait at an agent whose service has a limit, its next tick is now due when the limit allows the next one or the caller of one gives up.

--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -68,6 +68,7 @@
 		return
 	}
 	if pk.Opening {
+		ho.openings = append(ho.openings, si.now)
 		if !ok || fl.openingSequence != pk.Sequence {
 			if !ho.draining.IsZero() && si.now.Sub(ho.draining) > 3*time.Second {
 				si.openedAfterDrain++
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -290,6 +290,7 @@
 	ga.expireIdle(now)
 	ga.announceIfChanged(now)
 	ga.serveQueue(now)
+	ga.tickForColdHost(now)
 	return ga.actions
 }
 
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -83,6 +84,14 @@
 	copyTimes []time.Duration
 	// cut is a balancer that is cut off from all other processes, nil for none.
 	cut *simBalancer
+	// evacuated are the failure domains that the operator has evacuated. coldFor is how
+	// long a host is cold after it starts.
+	evacuated evacuation.Set
+	coldFor   time.Duration
+	// awaitsEvacuations says that balancers start without knowing a set.
+	awaitsEvacuations bool
+	// refusedFor counts the openings that balancers refused, by the reason.
+	refusedFor map[Reason]int
 
 	// The counts of what callers and hosts observed.
 	served, refused, failed int
@@ -139,6 +148,10 @@
 	work    time.Duration
 	// requests is the number of requests that the host has worked on.
 	requests int
+	// openings are the times at which the host received opening packets, of all starts.
+	openings []time.Time
+	// wake is when the next call of the gate's Tick is scheduled.
+	wake time.Time
 }
 
 // simFlow is a flow at a simulated host.
@@ -180,9 +193,9 @@
 func newSimulation(seed uint64, balancers, hosts int) *simulation {
 	si := &simulation{
 		now: began, random: rand.New(rand.NewPCG(seed, 1)), callers: make(map[Flow]*simCaller),
-		misdeliveries: make(map[Flow]*misdelivery),
-		former:        catalog.NewFormerServices(time.Minute),
-		copyTimes:     []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond},
+		misdeliveries: make(map[Flow]*misdelivery), refusedFor: make(map[Reason]int),
+		former:    catalog.NewFormerServices(time.Minute),
+		copyTimes: []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond},
 		routes: &catalog.Routes{Version: 1, Addresses: map[netip.AddrPort]catalog.Route{
 			simAddress: {Services: catalog.WeightedServices{{Service: simService, Weight: 1}}, LatencyTarget: 100 * time.Millisecond},
 		}},
@@ -232,7 +245,7 @@
 
 func (si *simulation) startBalancer(i int) {
 	ba := si.balancers[i]
-	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute})
+	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute, AwaitEvacuations: si.awaitsEvacuations})
 	ba.live = true
 	si.rotation = append(si.rotation, i)
 	slices.Sort(si.rotation)
@@ -314,6 +327,9 @@
 		Name: "h" + ho.address.String(), StartedAt: ho.startedAt, Sequence: ho.sequence, Service: ho.service, Address: simHostAddress,
 		Draining: !ho.draining.IsZero(), Slots: simSlots,
 	}
+	if si.coldFor > 0 {
+		ci.WarmAt = ho.startedAt.Add(si.coldFor)
+	}
 	list, _ := ho.gate.CheckIn(si.now, ci)
 	si.performAgent(ho, list)
 }
@@ -369,8 +385,9 @@
 func (si *simulation) armAgent(ho *simHost) {
 	at := ho.gate.Deadline()
 	gate := ho.gate
+	ho.wake = at
 	si.after(max(at.Sub(si.now), time.Millisecond), func() {
-		if ho.agent && ho.gate == gate {
+		if ho.agent && ho.gate == gate && ho.wake.Equal(at) {
 			si.performAgent(ho, gate.Tick(si.now))
 			si.armAgent(ho)
 		}
@@ -393,6 +410,9 @@
 		if ba == si.cut && ac.Kind != KindReset {
 			continue
 		}
+		if ac.Opening && ac.Kind == KindReset {
+			si.refusedFor[ac.Reason]++
+		}
 		switch ac.Kind {
 		case KindForward:
 			si.forward(ba, ac, data)
@@ -487,4 +507,7 @@
 			si.announce()
 		}
 	}
+	if ho.agent && ho.gate.Deadline().Before(ho.wake) {
+		si.armAgent(ho)
+	}
 }
--- a/internal/coordination/carriage/warmup.go
+++ b/internal/coordination/carriage/warmup.go
@@ -79,12 +79,30 @@
 		return false
 	}
 	ga.queue.items[len(ga.queue.items)-1].known = known
-	// While openings wait for a slot, a packet of the host serves the queue. Those that
-	// wait for the limit need a tick.
-	if next := ga.handedOver.AllowedAt(now, limit, 0); next.Before(ga.nextTick) {
+	ga.tickForColdHost(now)
+	return true
+}
+
+// tickForColdHost brings the next tick forward to when the limit allows the next opening
+// that waits, or the caller of one gives up: a refusal that is sent a busyTickInterval
+// later doesn't reach the caller any more. It does nothing for services without a limit.
+func (ga *Gate) tickForColdHost(now time.Time) {
+	if len(ga.queue.items) == 0 || ga.warmUp().PerSecond <= 0 {
+		return
+	}
+	next := ga.handedOver.AllowedAt(now, ga.openingLimit(now), 0)
+	if !next.After(now) {
+		next = ga.nextTick
+	}
+	for i := range ga.queue.items {
+		// An opening expires after its time, not at it.
+		if at := ga.queue.items[i].expires.Add(1); at.Before(next) {
+			next = at
+		}
+	}
+	if next.Before(ga.nextTick) {
 		ga.nextTick = next
 	}
-	return true
 }
 
 // serveQueueOfColdHost delivers queued openings before another one is handled, as the limit
