--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corneltiller.dev/corneltiller/internal/coordination/absence"
+	"corneltiller.dev/corneltiller/internal/coordination/warmup"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -92,6 +93,10 @@
 	drainStart    time.Time
 	// evacuated says that the failure domain of the agent is evacuated.
 	evacuated bool
+	// presumedCold is until when the host counts as cold by presumption, zero once it has
+	// checked in. handedOver counts the openings that the host got.
+	presumedCold time.Time
+	handedOver   warmup.Limiter
 	// lastHeard is when the host last checked in or sent a packet.
 	lastHeard time.Time
 	// unanswered counts the openings delivered since the host was last heard; the
@@ -207,7 +212,7 @@
 		return 0
 	case ga.agentDraining || ga.host.Draining:
 		return register.StateDraining
-	case now.Before(ga.host.WarmAt):
+	case now.Before(ga.coldUntil()):
 		return register.StateWarming
 	default:
 		return register.StateReady
@@ -299,6 +304,7 @@
 	ga.expireIdle(now)
 	ga.announceIfChanged(now)
 	ga.serveQueue(now)
+	ga.tickForColdHost(now)
 	return ga.actions
 }
 
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -61,6 +61,9 @@
 	// Acknowledged is the sequence number of the next byte that the sender waits
 	// for.
 	Acknowledged uint32
+	// Wait is how long a caller's packet had waited before the process handled it: long if
+	// the process was frozen.
+	Wait time.Duration
 }
 
 // Report is the state of a host as its agent reports it to balancers.
@@ -127,6 +130,9 @@
 	// ReasonEvacuated says that the failure domain of the host is evacuated, or that the
 	// hosts of the service that are left are in evacuated domains.
 	ReasonEvacuated
+	// ReasonWarming says that the host is cold and gets no more openings than its warm-up
+	// limit, and that the opening can't wait until it may get it.
+	ReasonWarming
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -134,7 +140,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"None", "Busy", "Draining", "HostUnknown", "WrongService", "NoRoute", "HostRefused",
-	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated", "Evacuated",
+	"NotHeld", "HostLost", "NoHost", "NotFound", "Unconfirmed", "Forged", "Full", "Isolated", "Evacuated", "Warming",
 }
 
 // String returns the reason's name.
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -57,6 +57,8 @@
 	// lastPacket is when the last packet of a caller arrived, zero if none did.
 	lastPacket time.Time
 	draining   bool
+	// sharing are the other balancers that take new work.
+	sharing map[netip.AddrPort]struct{}
 }
 
 // OpenBalancer opens the UDP sockets of a balancer. An error names the address
@@ -71,7 +73,8 @@
 		no.close()
 		return nil, err
 	}
-	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
+	requestArrivalTimes(callerConn)
+	ba := &Balancer{node: no, config: co, callerConn: callerConn, sharing: make(map[netip.AddrPort]struct{}), placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
 		AwaitEvacuations: no.evacuations != nil,
 	})}
@@ -101,7 +104,7 @@
 	ready := ba.config.NewReadyHandler(ba.Ready)
 	return ba.run(ctx, lifecycle{
 		start: func(work context.Context, gr *errgroup.Group) {
-			gr.Go(func() error { return readDatagrams(ba.callerConn, ba.handleCallerPacket) })
+			gr.Go(func() error { return readWithWait(ba.callerConn, ba.handleCallerPacket) })
 			gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
@@ -134,6 +137,7 @@
 func (ba *Balancer) setMember(now time.Time, re members.Record) {
 	ba.countMembers()
 	if re.Role != members.RoleAgent {
+		ba.setSharing(re.Address, re.Role == members.RoleBalancer && re.State.TakesNewWork())
 		return
 	}
 	ba.performFlowActions(now, ba.placer.SetAgent(now, carriage.Agent{
@@ -146,22 +150,36 @@
 // held.
 func (ba *Balancer) removeMember(address netip.AddrPort) {
 	ba.countMembers()
+	ba.setSharing(address, false)
 	ba.placer.RemoveAgent(address)
 }
 
+// setSharing notes whether another balancer takes new work, and so shares the warm-up
+// limits with this one.
+func (ba *Balancer) setSharing(address netip.AddrPort, sharing bool) {
+	if sharing {
+		ba.sharing[address] = struct{}{}
+	} else {
+		delete(ba.sharing, address)
+	}
+	ba.placer.SetSharingBalancers(len(ba.sharing))
+}
+
 // countMembers passes the number of other balancers to the placer.
 func (ba *Balancer) countMembers() {
 	ba.placer.SetOtherBalancers(ba.view.Balancers())
 	ba.metrics.Set("Agents", int64(ba.view.Agents()))
 }
 
-// handleCallerPacket handles a caller's packet from the fabric.
-func (ba *Balancer) handleCallerPacket(_ netip.AddrPort, datagram []byte) {
+// handleCallerPacket handles a caller's packet from the fabric that has waited in the
+// socket.
+func (ba *Balancer) handleCallerPacket(_ netip.AddrPort, datagram []byte, wait time.Duration) {
 	pk, err := ba.config.Codec.DecodeCallerPacket(datagram)
 	if err != nil {
 		ba.metrics.Count("PacketsRefused", 1)
 		return
 	}
+	pk.Wait = wait
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	now := time.Now()
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -143,9 +143,15 @@
 // readDatagrams calls handle with each datagram until the socket is closed. The
 // datagram is valid until handle returns.
 func readDatagrams(conn *net.UDPConn, handle func(from netip.AddrPort, datagram []byte)) error {
-	buffer := make([]byte, maxDatagram)
+	return readWithWait(conn, func(from netip.AddrPort, datagram []byte, _ time.Duration) { handle(from, datagram) })
+}
+
+// readWithWait does the same and tells how long each datagram has waited in the socket,
+// if requestArrivalTimes was called for it.
+func readWithWait(conn *net.UDPConn, handle func(from netip.AddrPort, datagram []byte, wait time.Duration)) error {
+	buffer, control := make([]byte, maxDatagram), make([]byte, controlBytes)
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		n, controlled, _, from, err := conn.ReadMsgUDPAddrPort(buffer, control)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -155,7 +161,7 @@
 			klog.V(2).InfoS("Socket error", "err", err)
 			continue
 		}
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n], waitOf(time.Now(), control[:controlled]))
 	}
 }
 
@@ -348,15 +354,16 @@
 		klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", before, "source", source)
 		return
 	case ro.Version == before && no.routes != nil:
-		// A member may know more former services of the same version.
-		no.routes = no.former.Succeed(now, ro, no.routes)
+		// A member may know more former services of the same version, and the warm-up
+		// limits, which a former build that read it from the store leaves out.
+		no.routes = no.former.Succeed(now, ro, no.routes.WithWarmUpsOf(ro))
 	default:
 		no.routes = no.former.Succeed(now, no.routes, ro)
 	}
 	no.onRoutes(now, no.routes)
 	no.metrics.Set("ConfigurationVersion", int64(ro.Version))
 	klog.InfoS("Configuration in force", "version", ro.Version, "before", before,
-		"addresses", len(ro.Addresses), "source", source)
+		"addresses", len(ro.Addresses), "warmUps", len(no.routes.WarmUps), "source", source)
 }
 
 // publish puts routes from the store in force, if they are newer, and sends them to
