test(carriage): random disturbances of searches for flows that no host holds

The tests of resets with reason NotHeld play chosen cases. The faults of such a proof lie in orders of restarts, lost messages and stale knowledge that nobody thinks of.

TestAbsenceWithRandomDisturbances kills, freezes, cuts off and restarts hosts, agents and balancers in any order, all of them at once too, with clocks off by up to 5 s, lost first check-ins, reused ports, changes of the route's service, hosts that check out, and a store that is away while balancers start. Left out are agents of other services that aren't certain: nobody can ask their hosts.

The simulation gets frozen processes, blocked pairs of processes, and balancers that have not read the members' entries. A reset of a port's former flow no longer ends the next one, as its number doesn't fit, and a dead balancer takes no routes.

--- a/internal/coordination/carriage/changedroute_test.go
+++ b/internal/coordination/carriage/changedroute_test.go
@@ -47,7 +47,9 @@
 		ho.gate.SetRoutes(si.routes)
 	}
 	for _, ba := range si.balancers {
-		si.performBalancer(ba, ba.placer.SetRoutes(si.now, si.routes))
+		if ba.live {
+			si.performBalancer(ba, ba.placer.SetRoutes(si.now, si.routes))
+		}
 	}
 }
 
--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -38,9 +38,12 @@
 // fromHost delivers a packet of the host to its agent and from there to the
 // caller.
 func (si *simulation) fromHost(ho *simHost, pk Packet) {
-	if !ho.agent {
-		return
+	if ho.agent {
+		si.in(&ho.agentProcess, func() { si.fromHostAtAgent(ho, pk) })
 	}
+}
+
+func (si *simulation) fromHostAtAgent(ho *simHost, pk Packet) {
 	for _, ac := range ho.gate.HandleHostPacket(si.now, pk, encode(pk)) {
 		if ac.Kind == KindReturn {
 			if holder := si.holder(pk.Flow); pk.Resets && holder != nil && holder != ho {
@@ -64,7 +67,7 @@
 		si.refusals++
 		returned := pk
 		returned.Returned = true
-		si.performAgent(ho, ho.gate.HandleHostPacket(si.now, returned, data))
+		si.in(&ho.agentProcess, func() { si.performAgent(ho, ho.gate.HandleHostPacket(si.now, returned, data)) })
 		return
 	}
 	if pk.Opening {
@@ -88,7 +91,7 @@
 		returned.Returned = true
 		si.after(10*time.Microsecond, func() {
 			if ho.agent {
-				si.performAgent(ho, ho.gate.HandleHostPacket(si.now, returned, data))
+				si.in(&ho.agentProcess, func() { si.performAgent(ho, ho.gate.HandleHostPacket(si.now, returned, data)) })
 			}
 		})
 		return
@@ -136,22 +139,26 @@
 		ho.waiting = ho.waiting[1:]
 		ho.working++
 		si.after(ho.work/2+time.Duration(si.random.Int64N(int64(ho.work))), func() {
-			if !ho.alive || !ho.startedAt.Equal(startedAt) {
-				return
+			if ho.alive && ho.startedAt.Equal(startedAt) {
+				si.in(&ho.process, func() { si.finishWork(ho, rq) })
 			}
-			ho.working--
-			ho.requests++
-			if fl := rq.at; ho.flows[rq.flow] == fl {
-				fl.answered = fl.received
-				fl.sent += simAnswerBytes
-				fl.finished = si.callers[rq.flow].keepsUntil.IsZero() || !ho.draining.IsZero()
-				si.answer(ho, rq.flow, fl)
-			}
-			si.startWork(ho)
 		})
 	}
 }
 
+// finishWork answers a request that the host has worked on.
+func (si *simulation) finishWork(ho *simHost, rq simRequest) {
+	ho.working--
+	ho.requests++
+	if fl := rq.at; ho.flows[rq.flow] == fl {
+		fl.answered = fl.received
+		fl.sent += simAnswerBytes
+		fl.finished = si.callers[rq.flow].keepsUntil.IsZero() || !ho.draining.IsZero()
+		si.answer(ho, rq.flow, fl)
+	}
+	si.startWork(ho)
+}
+
 // answer sends the flow's last answer.
 func (si *simulation) answer(ho *simHost, flow Flow, fl *simFlow) {
 	number := fl.initialSequence + 1 + fl.sent - simAnswerBytes
@@ -194,9 +201,11 @@
 	}
 	ba := si.balancers[si.rotation[int(pk.Flow.Hash()%uint64(len(si.rotation)))]]
 	si.send(func() {
-		if ba.live {
-			si.performBalancer(ba, ba.placer.HandlePacket(si.now, pk, encode(pk)))
-		}
+		si.in(&ba.simProcess, func() {
+			if ba.live {
+				si.performBalancer(ba, ba.placer.HandlePacket(si.now, pk, encode(pk)))
+			}
+		})
 	})
 }
 
@@ -311,14 +320,17 @@
 }
 
 // resetCaller simulates a caller that receives a reset from a balancer.
-func (si *simulation) resetCaller(flow Flow) {
+func (si *simulation) resetCaller(flow Flow, number uint32) {
 	ca := si.callers[flow]
-	if ca == nil || ca.done {
+	if ca == nil || ca.done || ca.former != nil && ca.former.accepted && near(number, ca.former.number) {
 		return
 	}
 	if si.holder(flow) != nil {
 		si.resetsOfOpen++
 	}
+	if ca.accepted && si.livingHolder(ca) != nil {
+		si.resetsOfHeld = append(si.resetsOfHeld, flow)
+	}
 	ca.done = true
 	si.refused++
 }
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -84,14 +84,22 @@
 	copyTimes []time.Duration
 	// cut is a balancer that is cut off from all other processes, nil for none.
 	cut *simBalancer
+	// blocked holds the pairs of processes whose datagrams to each other are lost.
+	blocked map[[2]netip.AddrPort]int
+	// storeBack is until when the store is away. A balancer that starts before knows
+	// only the agents that tell it of themselves.
+	storeBack time.Time
 
 	// The counts of what callers and hosts observed.
 	served, refused, failed int
 	lateAnswers             int
 	misdeliveries           map[Flow]*misdelivery
 	resetsOfOpen            int
-	openedAfterDrain        int
-	wrongAnswers            int
+	// resetsOfHeld are the accepted flows that a balancer has reset while a living host
+	// held them, open or not yet used.
+	resetsOfHeld     []Flow
+	openedAfterDrain int
+	wrongAnswers     int
 	// finds and possibles count the messages with questions of searches, and those with
 	// an answer that a host possibly holds a flow.
 	finds, possibles int
@@ -108,13 +116,44 @@
 	brokenByHost         int
 }
 
+// simProcess is what all kinds of simulated processes have in common.
+type simProcess struct {
+	// frozenUntil is until when the process handles nothing, zero while it runs.
+	frozenUntil time.Time
+	// ends counts how often the process has ended.
+	ends int
+}
+
+// end ends the process. What it has not handled yet is lost.
+func (pr *simProcess) end() {
+	pr.frozenUntil = time.Time{}
+	pr.ends++
+}
+
+// in runs the function in a process: at once, or when it is no longer frozen.
+func (si *simulation) in(pr *simProcess, run func()) {
+	if !si.now.Before(pr.frozenUntil) {
+		run()
+		return
+	}
+	ends := pr.ends
+	si.after(pr.frozenUntil.Sub(si.now), func() {
+		if pr.ends == ends {
+			si.in(pr, run)
+		}
+	})
+}
+
 // simBalancer is a simulated balancer.
 type simBalancer struct {
+	simProcess
 	address netip.AddrPort
 	placer  *Placer
 	live    bool
 	// wake is when the next call of Tick is scheduled, zero if none is.
 	wake time.Time
+	// unlisted says that the balancer hasn't read the members' entries.
+	unlisted bool
 }
 
 // simHost is a simulated host with its agent.
@@ -123,6 +162,14 @@
 	domain  string
 	service string
 	gate    *Gate
+	// agentProcess and process are those of the agent and of the host.
+	agentProcess, process simProcess
+	// skew is by how much the clock that the host reads at its start is ahead of its
+	// agent's. lostCheckIns is the number of its next check-ins that are lost.
+	skew         time.Duration
+	lostCheckIns int
+	// departed says that the host has checked out and its agent has removed its entry.
+	departed bool
 	// agent says that the agent runs, alive that the host does.
 	agent, alive bool
 	// refusing says that the host returns every opening, breaking that it resets
@@ -243,8 +290,13 @@
 	ba := si.balancers[i]
 	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute})
 	ba.live = true
+	ba.wake = time.Time{}
 	si.rotation = append(si.rotation, i)
 	slices.Sort(si.rotation)
+	if ba.unlisted = si.now.Before(si.storeBack); ba.unlisted {
+		si.listLater(ba)
+		return
+	}
 	routes := si.routes
 	if si.storeRoutes != nil {
 		routes = si.storeRoutes
@@ -254,10 +306,33 @@
 	ba.placer.MembersListed(si.now)
 }
 
+// listLater lets a balancer that starts while the store is away read routes and entries
+// once it is back, and get the routes from another balancer before.
+func (si *simulation) listLater(ba *simBalancer) {
+	placer := ba.placer
+	si.after(20*time.Millisecond, func() {
+		if slices.ContainsFunc(si.balancers, func(other *simBalancer) bool { return other != ba && other.live && !other.unlisted }) {
+			si.performBalancer(ba, placer.SetRoutes(si.now, si.routes))
+		}
+	})
+	si.after(si.storeBack.Sub(si.now), func() {
+		si.in(&ba.simProcess, func() {
+			if ba.live && ba.placer == placer {
+				ba.unlisted = false
+				si.performBalancer(ba, placer.SetRoutes(si.now, si.routes))
+				si.sendRecords(ba)
+				placer.MembersListed(si.now)
+				si.armBalancer(ba)
+			}
+		})
+	})
+}
+
 // stopBalancer stops a balancer at once; the fabric stops sending packets to it
 // after a second.
 func (si *simulation) stopBalancer(i int) {
 	si.balancers[i].live = false
+	si.balancers[i].end()
 	si.after(time.Second, func() {
 		if !si.balancers[i].live {
 			si.rotation = slices.DeleteFunc(si.rotation, func(at int) bool { return at == i })
@@ -266,10 +341,13 @@
 }
 
 // sendRecords sends the records of all agents to a balancer at once.
-func (si *simulation) sendRecords(ba *simBalancer) {
+func (si *simulation) sendRecords(ba *simBalancer) { si.sendRecordsOf(ba, si.hosts) }
+
+// sendRecordsOf sends the records of the agents of the hosts to a balancer at once.
+func (si *simulation) sendRecordsOf(ba *simBalancer, hosts []*simHost) {
 	var list []Agent
-	for _, ho := range si.hosts {
-		if ho.gate != nil {
+	for _, ho := range hosts {
+		if ho.gate != nil && !ho.departed {
 			re := ho.gate.Report(si.now)
 			si.order++
 			list = append(list, Agent{Revision: register.Revision{Incarnation: 1, Sequence: uint64(si.order)}, Address: ho.address, Service: ho.service, Domain: ho.domain, State: re.State, Slots: re.Slots, ServiceTime: re.ServiceTime})
@@ -281,17 +359,33 @@
 	}
 }
 
-// announce sends the records to all balancers through the network.
-func (si *simulation) announce() {
+// announce sends the records to all balancers through the network. One that hasn't read
+// the members' entries learns of the announcing agent only.
+func (si *simulation) announce(ho *simHost) {
 	for _, ba := range si.balancers {
-		si.send(func() {
-			if ba.live {
+		si.sendBetween(ho.address, ba.address, &ba.simProcess, func() {
+			switch {
+			case !ba.live:
+			case ba.unlisted:
+				si.sendRecordsOf(ba, []*simHost{ho})
+			default:
 				si.sendRecords(ba)
 			}
 		})
 	}
 }
 
+// sendBetween sends a datagram from one process to another, which handles it when it
+// isn't frozen.
+func (si *simulation) sendBetween(from, to netip.AddrPort, pr *simProcess, run func()) {
+	ends := pr.ends
+	si.send(func() {
+		if si.blocked[[2]netip.AddrPort{from, to}] == 0 && pr.ends == ends {
+			si.in(pr, run)
+		}
+	})
+}
+
 func (si *simulation) startHost(i int) {
 	ho := si.hosts[i]
 	ho.alive = true
@@ -311,25 +405,32 @@
 	if !ho.alive || !ho.startedAt.Equal(startedAt) {
 		return
 	}
-	si.checkIn(ho)
+	si.in(&ho.process, func() { si.checkIn(ho) })
 	si.after(simHeartbeat, func() { si.heartbeat(ho, startedAt) })
 }
 
 func (si *simulation) checkIn(ho *simHost) {
 	ho.sequence++
+	if ho.lostCheckIns > 0 {
+		ho.lostCheckIns--
+		return
+	}
 	if ho.gate == nil || !ho.agent {
 		return
 	}
 	ci := CheckIn{
-		Name: "h" + ho.address.String(), StartedAt: ho.startedAt, Sequence: ho.sequence, Service: ho.service, Address: simHostAddress,
+		Name: "h" + ho.address.String(), StartedAt: ho.startedAt.Add(ho.skew), Sequence: ho.sequence, Service: ho.service, Address: simHostAddress,
 		Draining: !ho.draining.IsZero(), Slots: simSlots,
 	}
-	list, _ := ho.gate.CheckIn(si.now, ci)
-	si.performAgent(ho, list)
+	si.in(&ho.agentProcess, func() {
+		list, _ := ho.gate.CheckIn(si.now, ci)
+		si.performAgent(ho, list)
+	})
 }
 
 func (si *simulation) crashHost(i int) {
 	si.hosts[i].alive = false
+	si.hosts[i].process.end()
 	si.hosts[i].flows = nil
 }
 
@@ -350,14 +451,18 @@
 	if ho.alive && si.now.Equal(began) {
 		si.checkIn(ho)
 	}
+	ho.departed = false
 	si.armAgent(ho)
-	si.announce()
+	si.announce(ho)
 	for _, ba := range si.balancers {
-		si.toBalancer(ba.address, func(pl *Placer) []Action { return pl.HandlePeerAlive(si.now, ho.address) })
+		si.toBalancer(ho, ba.address, func(pl *Placer) []Action { return pl.HandlePeerAlive(si.now, ho.address) })
 	}
 }
 
-func (si *simulation) stopAgent(i int) { si.hosts[i].agent = false }
+func (si *simulation) stopAgent(i int) {
+	si.hosts[i].agent = false
+	si.hosts[i].agentProcess.end()
+}
 
 // armBalancer schedules the next call of the placer's Tick.
 func (si *simulation) armBalancer(ba *simBalancer) {
@@ -368,10 +473,12 @@
 	ba.wake = at
 	placer := ba.placer
 	si.after(max(at.Sub(si.now), 0), func() {
-		if ba.live && ba.placer == placer && ba.wake.Equal(at) {
-			ba.wake = time.Time{}
-			si.performBalancer(ba, placer.Tick(si.now))
-		}
+		si.in(&ba.simProcess, func() {
+			if ba.live && ba.placer == placer && ba.wake.Equal(at) {
+				ba.wake = time.Time{}
+				si.performBalancer(ba, placer.Tick(si.now))
+			}
+		})
 	})
 }
 
@@ -380,10 +487,12 @@
 	at := ho.gate.Deadline()
 	gate := ho.gate
 	si.after(max(at.Sub(si.now), time.Millisecond), func() {
-		if ho.agent && ho.gate == gate {
-			si.performAgent(ho, gate.Tick(si.now))
-			si.armAgent(ho)
-		}
+		si.in(&ho.agentProcess, func() {
+			if ho.agent && ho.gate == gate {
+				si.performAgent(ho, gate.Tick(si.now))
+				si.armAgent(ho)
+			}
+		})
 	})
 }
 
@@ -407,21 +516,23 @@
 		case KindForward:
 			si.forward(ba, ac, data)
 		case KindReset:
-			si.send(func() { si.resetCaller(ac.Flow) })
+			si.send(func() { si.resetCaller(ac.Flow, ac.Acknowledged) })
 		case KindPingBalancers:
 			si.pingBalancers(ba)
 		case KindFind:
 			si.finds++
-			si.send(func() {
-				if ho := si.hostAt(ac.To); ho.agent {
+			ho := si.hostAt(ac.To)
+			si.sendBetween(ba.address, ac.To, &ho.agentProcess, func() {
+				if ho.agent {
 					si.performAgent(ho, ho.gate.HandleFindHolders(si.now, ba.address, ac.Number, ac.Questions))
 				}
 			})
 		case KindPing:
-			si.send(func() {
-				if ho := si.hostAt(ac.To); ho.agent {
+			ho := si.hostAt(ac.To)
+			si.sendBetween(ba.address, ac.To, &ho.agentProcess, func() {
+				if ho.agent {
 					re := ho.gate.Report(si.now)
-					si.toBalancer(ba.address, func(pl *Placer) []Action { return pl.HandleReport(si.now, ho.address, re) })
+					si.toBalancer(ho, ba.address, func(pl *Placer) []Action { return pl.HandleReport(si.now, ho.address, re) })
 				}
 			})
 		}
@@ -432,7 +543,7 @@
 // pingBalancers lets the other running balancers answer a ping.
 func (si *simulation) pingBalancers(ba *simBalancer) {
 	for _, other := range si.balancers {
-		if other != ba && other.live && other != si.cut {
+		if other != ba && other.live && other != si.cut && !si.now.Before(other.frozenUntil) {
 			si.send(func() { si.performBalancer(ba, ba.placer.HandlePeerAlive(si.now, other.address)) })
 		}
 	}
@@ -452,19 +563,20 @@
 func (si *simulation) forward(ba *simBalancer, ac Action, data []byte) {
 	pk := si.decode(ac, data)
 	fp := ForwardedPacket{Packet: pk, From: ba.address, Mode: ac.Mode, ServiceHash: ac.ServiceHash, Version: 1, Started: ac.Started}
-	si.send(func() {
-		if ho := si.hostAt(ac.To); ho.agent {
+	ho := si.hostAt(ac.To)
+	si.sendBetween(ba.address, ac.To, &ho.agentProcess, func() {
+		if ho.agent {
 			si.performAgent(ho, ho.gate.HandleForwarded(si.now, fp, data))
 		}
 	})
 }
 
-func (si *simulation) toBalancer(address netip.AddrPort, take func(pl *Placer) []Action) {
-	si.send(func() {
-		for _, ba := range si.balancers {
-			if ba.address == address && ba.live && ba != si.cut {
-				si.performBalancer(ba, take(ba.placer))
-			}
+func (si *simulation) toBalancer(from *simHost, address netip.AddrPort, take func(pl *Placer) []Action) {
+	at := slices.IndexFunc(si.balancers, func(ba *simBalancer) bool { return ba.address == address })
+	ba := si.balancers[at]
+	si.sendBetween(from.address, address, &ba.simProcess, func() {
+		if ba.live && ba != si.cut {
+			si.performBalancer(ba, take(ba.placer))
 		}
 	})
 }
@@ -480,26 +592,28 @@
 		re := ho.gate.Report(si.now)
 		switch ac.Kind {
 		case KindDeliver:
-			si.after(10*time.Microsecond, func() { si.hostReceives(ho, si.decode(ac, data), data) })
+			si.after(10*time.Microsecond, func() {
+				si.in(&ho.process, func() { si.hostReceives(ho, si.decode(ac, data), data) })
+			})
 		case KindConfirm:
-			si.toBalancer(ac.To, func(pl *Placer) []Action { return pl.HandleConfirmation(si.now, ho.address, ac.Flow, re) })
+			si.toBalancer(ho, ac.To, func(pl *Placer) []Action { return pl.HandleConfirmation(si.now, ho.address, ac.Flow, re) })
 		case KindDecline:
 			pk := si.decode(ac, data)
-			si.toBalancer(ac.To, func(pl *Placer) []Action {
+			si.toBalancer(ho, ac.To, func(pl *Placer) []Action {
 				return pl.HandleDecline(si.now, ho.address, pk, data, ac.Reason, re)
 			})
 		case KindHeld:
 			if !ac.Sure {
 				si.possibles++
 			}
-			si.toBalancer(ac.To, func(pl *Placer) []Action { return pl.HandleFindAnswer(si.now, ho.address, ac.Flow, ac.Sure) })
+			si.toBalancer(ho, ac.To, func(pl *Placer) []Action { return pl.HandleFindAnswer(si.now, ho.address, ac.Flow, ac.Sure) })
 		case KindHolders:
 			if slices.ContainsFunc(ac.Answers, func(an absence.Answer) bool { return an == absence.Possible || an == absence.Unlikely }) {
 				si.possibles++
 			}
-			si.toBalancer(ac.To, func(pl *Placer) []Action { return pl.HandleHolders(si.now, ho.address, ac.Number, ac.Answers) })
+			si.toBalancer(ho, ac.To, func(pl *Placer) []Action { return pl.HandleHolders(si.now, ho.address, ac.Number, ac.Answers) })
 		case KindAnnounce:
-			si.announce()
+			si.announce(ho)
 		}
 	}
 }
