--- /dev/null
+++ b/internal/coordination/carriage/proof.go
@@ -0,0 +1,140 @@
+package carriage
+
+import (
+	"slices"
+	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
+)
+
+// viewSettled is how long after its list of the members' entries a balancer's view
+// is complete: a process whose entry was just being written has greeted it by then.
+const viewSettled = time.Second
+
+// haveAnswered reports whether all of the agents that aren't silent have answered. One of
+// a former build answers only if its host may hold the flow. An agent that was asked once
+// and hasn't answered isn't silent: the question or the answer was lost, and the next round
+// or the flow's next packet asks it again.
+func (pl *Placer) haveAnswered(now time.Time, se *search, list []*agent) bool {
+	for _, ag := range list {
+		silent := ag.suspect || ag.outbox.former || ag.outbox.isSilent(now) || ag.report.State == register.StateGone
+		if !silent && !se.absent.Has(ag.number) && !se.answered.Has(ag.number) {
+			return false
+		}
+	}
+	return true
+}
+
+// resetIfAbsent resets the caller if it is proved that no host holds the flow, and
+// forgets the flow.
+func (pl *Placer) resetIfAbsent(now time.Time, tf *trackedFlow) bool {
+	list := pl.mayHold(now, tf.flow)
+	if !pl.viewComplete(now) || len(list) == 0 {
+		return false
+	}
+	for _, ag := range list {
+		if !tf.search.absent.Has(ag.number) && ag.report.State != register.StateGone {
+			return false
+		}
+	}
+	pl.actions = append(pl.actions, Action{
+		Kind: KindReset, Flow: tf.flow, Reason: ReasonNotHeld, Acknowledged: tf.search.acknowledged, Agents: len(list),
+	})
+	pl.forget(tf)
+	return true
+}
+
+// MembersListed notes that the balancer has itself read the members' entries from the
+// store.
+func (pl *Placer) MembersListed(now time.Time) {
+	if pl.listed.IsZero() {
+		pl.listed = now
+	}
+}
+
+// settleView resets, once the view is complete, the callers of flows whose absence was
+// proved before.
+func (pl *Placer) settleView(now time.Time) {
+	if pl.settled || !pl.viewComplete(now) {
+		return
+	}
+	pl.settled = true
+	for el := pl.flows.order.Front(); el != nil; {
+		next := el.Next()
+		if tf := el.Value.(*recentEntry[*trackedFlow]).value; tf.phase == phaseLost {
+			pl.resetIfAbsent(now, tf)
+		}
+		el = next
+	}
+}
+
+// settlesAt returns when the view will be complete, zero if it is or no list was read.
+func (pl *Placer) settlesAt() time.Time {
+	if pl.settled || pl.listed.IsZero() || pl.routes == nil {
+		return time.Time{}
+	}
+	return pl.listed.Add(viewSettled)
+}
+
+// viewComplete reports whether the balancer knows all agents that may have hosts with
+// flows.
+func (pl *Placer) viewComplete(now time.Time) bool {
+	return !pl.listed.IsZero() && now.Sub(pl.listed) >= viewSettled && pl.routes != nil
+}
+
+// mayHold returns the agents whose hosts may hold the flow, as far as the balancer knows
+// without their answers.
+func (pl *Placer) mayHold(now time.Time, flow Flow) []*agent {
+	local, remote := pl.possibleAgents(flow)
+	return append(append(local, remote...), pl.agentsOfOtherServices(now, flow)...)
+}
+
+// possibleAgents returns the agents whose hosts may hold the flow, those of the
+// balancer's own failure domain apart: the agents of the services of its address and those
+// whose service isn't known yet, or all agents if none is known for the address.
+func (pl *Placer) possibleAgents(flow Flow) (local, remote []*agent) {
+	var list []*agent
+	if pl.routes != nil {
+		for _, ws := range pl.routes.Addresses[flow.Service].Services {
+			list = append(list, pl.pools[ws.Service]...)
+		}
+	}
+	if len(list) == 0 {
+		for _, pool := range pl.pools {
+			list = append(list, pool...)
+		}
+		slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+	} else {
+		// An agent that has just started doesn't know its host's service.
+		list = append(list, pl.pools[""]...)
+	}
+	for _, ag := range list {
+		if ag.domain == pl.domain {
+			local = append(local, ag)
+		} else {
+			remote = append(remote, ag)
+		}
+	}
+	return local, remote
+}
+
+// agentsOfOtherServices returns the agents of the services that the flow's address is not
+// known to have had, while the balancer runs for less than a flow's lifetime. It returns
+// none if the address has no route, as possibleAgents returns all then.
+func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
+	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime {
+		return nil
+	}
+	ro, ok := pl.routes.Addresses[flow.Service]
+	if !ok {
+		return nil
+	}
+	var list []*agent
+	for service, pool := range pl.pools {
+		if service != "" && !ro.Services.Names(service) {
+			list = append(list, pool...)
+		}
+	}
+	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+	return list
+}
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -18,46 +18,20 @@
 	// balancer's own failure domain, allAgentsWait for those of all.
 	localAgentsWait = questionInterval + 10*time.Millisecond
 	allAgentsWait   = questionInterval + 20*time.Millisecond
-	// tentativeWait is how long a search waits after the packet was sent to a host
-	// that possibly holds the flow. A host that doesn't hold it returns the packet at
-	// once; one that does may stay silent until it answers the request.
-	tentativeWait = 40 * time.Millisecond
 	// lostPause is how long packets of a flow that wasn't found are dropped. The
 	// first one after that starts another search, which passes over the hosts that
 	// declined the flow's packets before.
 	lostPause = 100 * time.Millisecond
-	// maxEarlyTries is the number of hosts that all searches for a flow together may send
-	// its packet to within tentativeInterval before all agents have answered that may hold
-	// it. Three packets of an open flow at other hosts within 2 s, and none at its own,
-	// break the flow, and a search that misses the holder's answer tries the others.
-	maxEarlyTries     = 2
-	tentativeInterval = 2200 * time.Millisecond
-	// askedBeforeTries is the number of agents up to which all are asked before a third
-	// host is sent the packet, also if none of the candidates is certain. With more of them
-	// the questions after a restart of everything cost more than the searches gain.
-	askedBeforeTries = 64
-	// sameRestart is the distance between incarnations, in milliseconds, up to which agents
-	// count as restarted at the same time.
-	sameRestart = 1000
 	// possibleInterval is how long an agent that possibly holds the flow isn't asked again.
 	// After a restart of many agents these are so many that their answers, to each copy of
 	// each packet, would be most of the traffic.
 	possibleInterval = 2 * time.Second
-	// maxTentative is the number of hosts that a search sends the packet to after all
-	// agents have answered, as one of those then holds the flow. maxUnlikely is the
-	// number for hosts that are unlikely to hold it: after a loss of power these are up
-	// to half of all, and each returns the packet within a few milliseconds.
-	maxTentative = 8
-	maxUnlikely  = 64
 	// maxBuffered bounds the packets that are buffered for one search: as many as
 	// a caller has in flight at once.
 	maxBuffered = 16
 	// maxSearches is the number of flows with a deadline, searches included, from
 	// which on no search for an unknown flow is started.
 	maxSearches = 1024
-	// viewSettled is how long after its list of the members' entries a balancer's view
-	// is complete: a process whose entry was just being written has greeted it by then.
-	viewSettled = time.Second
 )
 
 // round is a step of a search. The rounds follow each other until the flow is
@@ -152,19 +126,6 @@
 	}
 }
 
-// exclude notes that the agent declined a packet of the flow.
-func (se *search) exclude(ag *agent) {
-	if ag == nil {
-		return
-	}
-	if !slices.Contains(se.excluded, ag) {
-		se.excluded = append(se.excluded, ag)
-	}
-	if !slices.Contains(se.declined, ag) {
-		se.declined = append(se.declined, ag)
-	}
-}
-
 // setAnswer keeps the agent in the list of those that have given the answer.
 func (se *search) setAnswer(ag *agent, an absence.Answer) {
 	is := func(other *agent) bool { return other == ag }
@@ -193,24 +154,6 @@
 	}
 }
 
-// noteTry notes that the packet is sent to the agent's host.
-func (se *search) noteTry(now time.Time, ag *agent) {
-	copy(se.tried[:], se.tried[1:])
-	se.tried[len(se.tried)-1] = now
-	se.tentative++
-	se.trying = ag.address
-}
-
-// handleSearchDecline handles a packet that an agent declined during a search. If
-// the search waits for that agent it goes on.
-func (pl *Placer) handleSearchDecline(now time.Time, tf *trackedFlow, from netip.AddrPort) {
-	tf.search.exclude(pl.agents[from])
-	if tf.search.round.tries() && tf.search.trying == from {
-		pl.clearDeadline(tf)
-		pl.nextRound(now, tf)
-	}
-}
-
 // startSearch starts a search for the agent of a flow that the balancer doesn't
 // know. It drops the packet if too many flows have a deadline.
 func (pl *Placer) startSearch(now time.Time, pk Packet, data []byte) {
@@ -350,142 +293,6 @@
 	pl.setDeadline(tf, now.Add(wait))
 }
 
-// tryNext sends the packet to the next host that possibly holds the flow. It reports
-// false if there is none.
-func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
-	se := tf.search
-	var ag *agent
-	complete := se.round == roundTryAll && pl.haveAnswered(now, se, pl.mayHold(now, tf.flow))
-	if pl.mayTry(now, tf, complete) {
-		ag = pl.nextPossible(se, &se.possible)
-	}
-	if ag == nil && len(se.possible) == 0 && complete && se.tentative < maxUnlikely {
-		ag = pl.nextPossible(se, &se.unlikely)
-	}
-	if ag == nil {
-		return false
-	}
-	se.noteTry(now, ag)
-	pl.budget.Charge(now, datagramBytes+len(se.buffered[0]))
-	pl.forward(ag, tf.flow, se.buffered[0], Action{Mode: DeliverTentatively})
-	pl.setDeadline(tf, now.Add(tentativeWait))
-	return true
-}
-
-// mayTry reports whether the search may send the packet to another host. Complete says
-// that all agents have answered which may hold the flow.
-func (pl *Placer) mayTry(now time.Time, tf *trackedFlow, complete bool) bool {
-	se := tf.search
-	switch {
-	case complete:
-		return se.tentative < maxTentative
-	case se.round == roundTryAll:
-		return false
-	case !pl.haveAnswered(now, se, pl.candidateAgents(tf.flow)):
-		// A candidate that isn't silent may hold the flow, and is asked again.
-		return now.Sub(se.tried[maxEarlyTries-1]) >= tentativeInterval
-	default:
-		return now.Sub(se.tried[0]) >= tentativeInterval || se.tentative < localCandidates+remoteCandidates && pl.restartedTogether(now, tf)
-	}
-}
-
-// restartedTogether reports whether none of the flow's candidates is certain, as far as
-// they have answered: each has said that its host possibly holds the flow, or its host has
-// returned the packet. Nearly all agents then say so, and to ask them takes hundreds of
-// messages and leaves as many hosts to try.
-func (pl *Placer) restartedTogether(now time.Time, tf *trackedFlow) bool {
-	se := tf.search
-	if len(pl.mayHold(now, tf.flow)) <= askedBeforeTries {
-		return false
-	}
-	list := pl.candidateAgents(tf.flow)
-	for _, ag := range list {
-		tried := slices.Contains(se.excluded, ag) || se.trying == ag.address
-		if !tried && !ag.suspect && !slices.Contains(se.possible, ag) {
-			return false
-		}
-	}
-	return len(list) > 0
-}
-
-// haveAnswered reports whether all of the agents that aren't silent have answered. One of
-// a former build answers only if its host may hold the flow. An agent that was asked once
-// and hasn't answered isn't silent: the question or the answer was lost, and the next round
-// or the flow's next packet asks it again.
-func (pl *Placer) haveAnswered(now time.Time, se *search, list []*agent) bool {
-	for _, ag := range list {
-		silent := ag.suspect || ag.outbox.former || ag.outbox.isSilent(now) || ag.report.State == register.StateGone
-		if !silent && !se.absent.Has(ag.number) && !se.answered.Has(ag.number) {
-			return false
-		}
-	}
-	return true
-}
-
-// resetIfAbsent resets the caller if it is proved that no host holds the flow, and
-// forgets the flow.
-func (pl *Placer) resetIfAbsent(now time.Time, tf *trackedFlow) bool {
-	list := pl.mayHold(now, tf.flow)
-	if !pl.viewComplete(now) || len(list) == 0 {
-		return false
-	}
-	for _, ag := range list {
-		if !tf.search.absent.Has(ag.number) && ag.report.State != register.StateGone {
-			return false
-		}
-	}
-	pl.actions = append(pl.actions, Action{
-		Kind: KindReset, Flow: tf.flow, Reason: ReasonNotHeld, Acknowledged: tf.search.acknowledged, Agents: len(list),
-	})
-	pl.forget(tf)
-	return true
-}
-
-// MembersListed notes that the balancer has itself read the members' entries from the
-// store.
-func (pl *Placer) MembersListed(now time.Time) {
-	if pl.listed.IsZero() {
-		pl.listed = now
-	}
-}
-
-// settleView resets, once the view is complete, the callers of flows whose absence was
-// proved before.
-func (pl *Placer) settleView(now time.Time) {
-	if pl.settled || !pl.viewComplete(now) {
-		return
-	}
-	pl.settled = true
-	for el := pl.flows.order.Front(); el != nil; {
-		next := el.Next()
-		if tf := el.Value.(*recentEntry[*trackedFlow]).value; tf.phase == phaseLost {
-			pl.resetIfAbsent(now, tf)
-		}
-		el = next
-	}
-}
-
-// settlesAt returns when the view will be complete, zero if it is or no list was read.
-func (pl *Placer) settlesAt() time.Time {
-	if pl.settled || pl.listed.IsZero() || pl.routes == nil {
-		return time.Time{}
-	}
-	return pl.listed.Add(viewSettled)
-}
-
-// viewComplete reports whether the balancer knows all agents that may have hosts with
-// flows.
-func (pl *Placer) viewComplete(now time.Time) bool {
-	return !pl.listed.IsZero() && now.Sub(pl.listed) >= viewSettled && pl.routes != nil
-}
-
-// mayHold returns the agents whose hosts may hold the flow, as far as the balancer knows
-// without their answers.
-func (pl *Placer) mayHold(now time.Time, flow Flow) []*agent {
-	local, remote := pl.possibleAgents(flow)
-	return append(append(local, remote...), pl.agentsOfOtherServices(now, flow)...)
-}
-
 // candidateAgents returns the flow's candidates of all services of its address.
 func (pl *Placer) candidateAgents(flow Flow) []*agent {
 	if pl.routes == nil {
@@ -499,84 +306,6 @@
 	return list
 }
 
-// possibleAgents returns the agents whose hosts may hold the flow, those of the
-// balancer's own failure domain apart: the agents of the services of its address and those
-// whose service isn't known yet, or all agents if none is known for the address.
-func (pl *Placer) possibleAgents(flow Flow) (local, remote []*agent) {
-	var list []*agent
-	if pl.routes != nil {
-		for _, ws := range pl.routes.Addresses[flow.Service].Services {
-			list = append(list, pl.pools[ws.Service]...)
-		}
-	}
-	if len(list) == 0 {
-		for _, pool := range pl.pools {
-			list = append(list, pool...)
-		}
-		slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
-	} else {
-		// An agent that has just started doesn't know its host's service.
-		list = append(list, pl.pools[""]...)
-	}
-	for _, ag := range list {
-		if ag.domain == pl.domain {
-			local = append(local, ag)
-		} else {
-			remote = append(remote, ag)
-		}
-	}
-	return local, remote
-}
-
-// agentsOfOtherServices returns the agents of the services that the flow's address is not
-// known to have had, while the balancer runs for less than a flow's lifetime. It returns
-// none if the address has no route, as possibleAgents returns all then.
-func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
-	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime {
-		return nil
-	}
-	ro, ok := pl.routes.Addresses[flow.Service]
-	if !ok {
-		return nil
-	}
-	var list []*agent
-	for service, pool := range pl.pools {
-		if service != "" && !ro.Services.Names(service) {
-			list = append(list, pool...)
-		}
-	}
-	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
-	return list
-}
-
-// nextPossible removes and returns the next agent of the list whose host didn't decline
-// the flow's packets, nil if none is left. The agents that were restarted last come first:
-// the others have learned most flows that are in use at their hosts.
-func (pl *Placer) nextPossible(se *search, list *[]*agent) *agent {
-	*list = slices.DeleteFunc(*list, func(ag *agent) bool {
-		return pl.agents[ag.address] != ag || slices.Contains(se.excluded, ag)
-	})
-	if len(*list) == 0 {
-		return nil
-	}
-	last := uint64(0)
-	for _, ag := range *list {
-		last = max(last, ag.revision.Incarnation)
-	}
-	best := -1
-	for i, ag := range *list {
-		if last-ag.revision.Incarnation > sameRestart {
-			continue
-		}
-		if best < 0 || ag.domain == pl.domain && (*list)[best].domain != pl.domain {
-			best = i
-		}
-	}
-	ag := (*list)[best]
-	*list = slices.Delete(*list, best, best+1)
-	return ag
-}
-
 // HandleFindAnswer handles an answer of an agent of a former build: its host holds
 // the flow or, unless sure, possibly holds it.
 func (pl *Placer) HandleFindAnswer(now time.Time, from netip.AddrPort, flow Flow, sure bool) []Action {
--- /dev/null
+++ b/internal/coordination/carriage/tentative.go
@@ -0,0 +1,150 @@
+package carriage
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// tentativeWait is how long a search waits after the packet was sent to a host
+	// that possibly holds the flow. A host that doesn't hold it returns the packet at
+	// once; one that does may stay silent until it answers the request.
+	tentativeWait = 40 * time.Millisecond
+	// maxEarlyTries is the number of hosts that all searches for a flow together may send
+	// its packet to within tentativeInterval before all agents have answered that may hold
+	// it. Three packets of an open flow at other hosts within 2 s, and none at its own,
+	// break the flow, and a search that misses the holder's answer tries the others.
+	maxEarlyTries     = 2
+	tentativeInterval = 2200 * time.Millisecond
+	// askedBeforeTries is the number of agents up to which all are asked before a third
+	// host is sent the packet, also if none of the candidates is certain. With more of them
+	// the questions after a restart of everything cost more than the searches gain.
+	askedBeforeTries = 64
+	// sameRestart is the distance between incarnations, in milliseconds, up to which agents
+	// count as restarted at the same time.
+	sameRestart = 1000
+	// maxTentative is the number of hosts that a search sends the packet to after all
+	// agents have answered, as one of those then holds the flow. maxUnlikely is the
+	// number for hosts that are unlikely to hold it: after a loss of power these are up
+	// to half of all, and each returns the packet within a few milliseconds.
+	maxTentative = 8
+	maxUnlikely  = 64
+)
+
+// exclude notes that the agent declined a packet of the flow.
+func (se *search) exclude(ag *agent) {
+	if ag == nil {
+		return
+	}
+	if !slices.Contains(se.excluded, ag) {
+		se.excluded = append(se.excluded, ag)
+	}
+	if !slices.Contains(se.declined, ag) {
+		se.declined = append(se.declined, ag)
+	}
+}
+
+// noteTry notes that the packet is sent to the agent's host.
+func (se *search) noteTry(now time.Time, ag *agent) {
+	copy(se.tried[:], se.tried[1:])
+	se.tried[len(se.tried)-1] = now
+	se.tentative++
+	se.trying = ag.address
+}
+
+// tryNext sends the packet to the next host that possibly holds the flow. It reports
+// false if there is none.
+func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
+	se := tf.search
+	var ag *agent
+	complete := se.round == roundTryAll && pl.haveAnswered(now, se, pl.mayHold(now, tf.flow))
+	if pl.mayTry(now, tf, complete) {
+		ag = pl.nextPossible(se, &se.possible)
+	}
+	if ag == nil && len(se.possible) == 0 && complete && se.tentative < maxUnlikely {
+		ag = pl.nextPossible(se, &se.unlikely)
+	}
+	if ag == nil {
+		return false
+	}
+	se.noteTry(now, ag)
+	pl.budget.Charge(now, datagramBytes+len(se.buffered[0]))
+	pl.forward(ag, tf.flow, se.buffered[0], Action{Mode: DeliverTentatively})
+	pl.setDeadline(tf, now.Add(tentativeWait))
+	return true
+}
+
+// mayTry reports whether the search may send the packet to another host. Complete says
+// that all agents have answered which may hold the flow.
+func (pl *Placer) mayTry(now time.Time, tf *trackedFlow, complete bool) bool {
+	se := tf.search
+	switch {
+	case complete:
+		return se.tentative < maxTentative
+	case se.round == roundTryAll:
+		return false
+	case !pl.haveAnswered(now, se, pl.candidateAgents(tf.flow)):
+		// A candidate that isn't silent may hold the flow, and is asked again.
+		return now.Sub(se.tried[maxEarlyTries-1]) >= tentativeInterval
+	default:
+		return now.Sub(se.tried[0]) >= tentativeInterval || se.tentative < localCandidates+remoteCandidates && pl.restartedTogether(now, tf)
+	}
+}
+
+// restartedTogether reports whether none of the flow's candidates is certain, as far as
+// they have answered: each has said that its host possibly holds the flow, or its host has
+// returned the packet. Nearly all agents then say so, and to ask them takes hundreds of
+// messages and leaves as many hosts to try.
+func (pl *Placer) restartedTogether(now time.Time, tf *trackedFlow) bool {
+	se := tf.search
+	if len(pl.mayHold(now, tf.flow)) <= askedBeforeTries {
+		return false
+	}
+	list := pl.candidateAgents(tf.flow)
+	for _, ag := range list {
+		tried := slices.Contains(se.excluded, ag) || se.trying == ag.address
+		if !tried && !ag.suspect && !slices.Contains(se.possible, ag) {
+			return false
+		}
+	}
+	return len(list) > 0
+}
+
+// nextPossible removes and returns the next agent of the list whose host didn't decline
+// the flow's packets, nil if none is left. The agents that were restarted last come first:
+// the others have learned most flows that are in use at their hosts.
+func (pl *Placer) nextPossible(se *search, list *[]*agent) *agent {
+	*list = slices.DeleteFunc(*list, func(ag *agent) bool {
+		return pl.agents[ag.address] != ag || slices.Contains(se.excluded, ag)
+	})
+	if len(*list) == 0 {
+		return nil
+	}
+	last := uint64(0)
+	for _, ag := range *list {
+		last = max(last, ag.revision.Incarnation)
+	}
+	best := -1
+	for i, ag := range *list {
+		if last-ag.revision.Incarnation > sameRestart {
+			continue
+		}
+		if best < 0 || ag.domain == pl.domain && (*list)[best].domain != pl.domain {
+			best = i
+		}
+	}
+	ag := (*list)[best]
+	*list = slices.Delete(*list, best, best+1)
+	return ag
+}
+
+// handleSearchDecline handles a packet that an agent declined during a search. If
+// the search waits for that agent it goes on.
+func (pl *Placer) handleSearchDecline(now time.Time, tf *trackedFlow, from netip.AddrPort) {
+	tf.search.exclude(pl.agents[from])
+	if tf.search.round.tries() && tf.search.trying == from {
+		pl.clearDeadline(tf)
+		pl.nextRound(now, tf)
+	}
+}
