feat(carriage): reset the callers of idle flows whose host has lost them

A caller learned only from its next request that a restarted host had lost its flow. A balancer now checks the flows that it remembers at an agent 2 s after it learns that the agent has restarted, and at once after the host's check-out, the most recently used first. If all have said Absent and the view is complete, the caller gets one reset with the highest number it has acknowledged, 4 bytes a flow. At most 100 a second are sent; searches for flows in use come first. A check ends when the flow is used.

Such checks need more than searches do: they concern all flows of a host. An agent that relies on one check-in, or on a check-out under an unknown name, which may have been another writer's, now says Provisional, and one whose host holds another flow between the same addresses says Reused. Searches take both for Absent, early checks don't.

A host that has restarted beside its running agent is left out: the agent keeps such flows as held until the host returns a packet, because a check-in with a later start may be another writer's.

--- a/internal/coordination/absence/absence_test.go
+++ b/internal/coordination/absence/absence_test.go
@@ -130,3 +130,31 @@
 		So(count, ShouldBeGreaterThan, 10)
 	})
 }
+
+// A single check-in may be another writer's: all flows that balancers remember at the agent
+// would be reset, though its host lives.
+func TestRepeatedCertainty(t *testing.T) {
+	Convey("A certainty that relies on one check-in is repeated with the next one of the same start", t, func() {
+		ce := NewCertainty(began, lifetime, false)
+		So(ce.Repeated(began), ShouldBeFalse)
+		ce.FirstCheckIn(began, 1)
+		So(ce.Certain(began), ShouldBeTrue)
+		So(ce.Repeated(began), ShouldBeFalse)
+		ce.NextCheckIn(began.Add(time.Second))
+		So(ce.Repeated(began), ShouldBeFalse)
+		ce.NextCheckIn(began)
+		So(ce.Repeated(began), ShouldBeTrue)
+		ce.EarlierCheckIn(began.Add(-time.Second))
+		So(ce.Repeated(began), ShouldBeFalse)
+		So(ce.Repeated(began.Add(lifetime)), ShouldBeTrue)
+	})
+	Convey("That of an agent which started with the whole system needs none", t, func() {
+		ce := NewCertainty(began, lifetime, true)
+		So(ce.Repeated(began), ShouldBeTrue)
+	})
+	Convey("Answers with a reservation are answers of absence", t, func() {
+		for an := range answerCount {
+			So(an.IsAbsent(), ShouldEqual, an == Absent || an == Reused || an == Provisional)
+		}
+	})
+}
--- a/internal/coordination/absence/answer.go
+++ b/internal/coordination/absence/answer.go
@@ -19,12 +19,19 @@
 	// Unlikely is Possible of an agent whose host seems to have started with it, as far as
 	// start times tell. That is no proof, but such hosts are sent the packet last.
 	Unlikely
+	// Reused is Absent of an agent whose host holds another flow between the same
+	// addresses.
+	Reused
+	// Provisional is Absent of an agent that relies on one message of its host, which may
+	// have been another writer's: a first check-in or a check-out. It proves the absence of
+	// a flow whose packet has arrived, but isn't enough to reset all remembered flows.
+	Provisional
 
 	// answerCount is the number of answers.
 	answerCount
 )
 
-var answerNames = [answerCount]string{"Unknown", "Held", "Possible", "Absent", "Unlikely"}
+var answerNames = [answerCount]string{"Unknown", "Held", "Possible", "Absent", "Unlikely", "Reused", "Provisional"}
 
 // String returns the answer's name.
 func (an Answer) String() string {
@@ -34,6 +41,10 @@
 	return answerNames[an]
 }
 
+// IsAbsent reports whether the answer says, with or without a reservation, that the host
+// doesn't hold the flow.
+func (an Answer) IsAbsent() bool { return an == Absent || an == Reused || an == Provisional }
+
 // ParseAnswer returns the answer of a code in a message; an undefined code is Unknown.
 func ParseAnswer(code byte) Answer {
 	if code >= byte(answerCount) {
--- a/internal/coordination/absence/certainty.go
+++ b/internal/coordination/absence/certainty.go
@@ -16,6 +16,8 @@
 	// firstStart is the start of the host that checked in first, zero before and if the
 	// whole system started for the first time.
 	firstStart time.Time
+	// repeated says that a further check-in of that start has followed.
+	repeated bool
 	// since is when the process began to know all flows that were opened later.
 	since time.Time
 }
@@ -33,6 +35,13 @@
 	return ce.fromStart || now.Sub(ce.since) >= ce.lifetime
 }
 
+// Repeated reports whether the certainty doesn't rely on a single check-in, which may have
+// been another writer's. A check-in of the agent's own host would have come before the next
+// one of the same start.
+func (ce *Certainty) Repeated(now time.Time) bool {
+	return ce.Certain(now) && (ce.firstStart.IsZero() || ce.repeated || now.Sub(ce.since) >= ce.lifetime)
+}
+
 // FirstCheckIn notes the first check-in that the process has received. A host takes no
 // flow before its first check-in is acknowledged, unless this process presumed it to be
 // healthy and admitted the flow itself.
@@ -46,6 +55,12 @@
 	}
 }
 
+// NextCheckIn notes a check-in that the agent takes after others.
+func (ce *Certainty) NextCheckIn(startedAt time.Time) {
+	ce.EarlierCheckIn(startedAt)
+	ce.repeated = ce.repeated || !ce.firstStart.IsZero() && startedAt.Equal(ce.firstStart)
+}
+
 // EarlierCheckIn notes a check-in of a host that started at the given time, which the
 // agent refuses as older or takes instead of a later one. If it started before the host
 // that checked in first, that check-in may have been another writer's, and the host is
@@ -54,6 +69,7 @@
 	if !ce.firstStart.IsZero() && startedAt.Before(ce.firstStart) {
 		ce.fromStart = false
 		ce.firstStart = time.Time{}
+		ce.repeated = false
 	}
 }
 
@@ -62,5 +78,6 @@
 func (ce *Certainty) Dropped(now time.Time) {
 	ce.fromStart = false
 	ce.firstStart = time.Time{}
+	ce.repeated = false
 	ce.since = now
 }
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -160,7 +160,9 @@
 	if !ok {
 		return nil
 	}
+	former := ag.report.State
 	ag.report = re
+	pl.noteState(now, ag, former)
 	ag.reported = now
 	ag.sent = 0
 	pl.markAlive(now, ag)
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -33,7 +33,7 @@
 		ga.hostOlder = ga.hostOlder && !ga.startedTogether(ci)
 		ga.certainty.FirstCheckIn(ci.StartedAt, ci.Sequence)
 	} else {
-		ga.certainty.EarlierCheckIn(ci.StartedAt)
+		ga.certainty.NextCheckIn(ci.StartedAt)
 	}
 	if ci.Draining && !ga.host.Draining && ga.known && !ga.presumed {
 		// drainStart stays zero for a host that was draining before the agent
@@ -138,6 +138,7 @@
 		return ga.actions, false
 	}
 	ga.gone = true
+	ga.goneByName = ga.known && !ga.presumed
 	ga.announceIfChanged(now)
 	return ga.actions, true
 }
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -87,7 +87,9 @@
 	// gone says that the host has checked out, agentDraining that the agent shuts
 	// down. drainStart is when the host checked in as draining, zero if it did so
 	// before the agent started.
-	gone          bool
+	gone bool
+	// goneByName says that the host that checked out had checked in under the same name.
+	goneByName    bool
 	agentDraining bool
 	drainStart    time.Time
 	// lastHeard is when the host last checked in or sent a packet.
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -117,10 +117,16 @@
 	switch {
 	case hf != nil && hf.isKnownHolder() && hf.isOf(qu.Acknowledged):
 		return absence.Held
-	case ga.gone || hf != nil && hf.hasReturned(qu.Acknowledged):
+	case hf != nil && hf.hasReturned(qu.Acknowledged) || ga.gone && ga.goneByName:
 		return absence.Absent
+	case ga.gone:
+		return absence.Provisional
 	case hf != nil && hf.mayBecomeOf(qu.Acknowledged):
 		return absence.Possible
+	case !ga.mayHold(now) && hf != nil && hf.isKnownHolder():
+		return absence.Reused
+	case !ga.mayHold(now) && !ga.certainty.Repeated(now):
+		return absence.Provisional
 	case !ga.mayHold(now):
 		return absence.Absent
 	case ga.servedElsewhere(qu.Flow):
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -76,6 +76,7 @@
 	// says that its view is complete since then.
 	listed  time.Time
 	settled bool
+	early   earlyResets
 	actions []Action
 }
 
@@ -126,7 +127,7 @@
 
 // Deadline returns when Tick is due, zero if nothing is.
 func (pl *Placer) Deadline() time.Time {
-	list := append(make([]time.Time, 0, 5), pl.questionsDue(), pl.settlesAt(), pl.parking.retry)
+	list := append(make([]time.Time, 0, 6), pl.questionsDue(), pl.settlesAt(), pl.parking.retry, pl.earlyDue())
 	if len(pl.due.items) > 0 {
 		list = append(list, pl.due.items[0].due())
 	}
@@ -167,6 +168,7 @@
 	}
 	pl.settleView(now)
 	pl.serveTurns(now)
+	pl.checkRemembered(now)
 	pl.sendDueInquiries(now)
 	pl.unpark(now)
 	for len(pl.pings.items) > 0 && !now.Before(pl.pings.items[0].nextPing) {
@@ -188,6 +190,9 @@
 		return pl.actions
 	}
 	tf, known := pl.flows.get(now, pk.Flow)
+	if known {
+		tf.endEarlyCheck()
+	}
 	if pk.Opening && !pk.Resets {
 		pl.handleOpening(now, pk, data, tf)
 		return pl.actions
@@ -205,6 +210,7 @@
 		return pl.actions
 	}
 	tf.number = pk.Sequence
+	tf.noteAcknowledged(pk)
 	switch tf.phase {
 	case phaseSearching:
 		tf.search.buffer(data)
--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -61,8 +61,13 @@
 		// earlier process was asked, and isn't silent for that reason.
 		ag.outbox.batches, ag.outbox.former = false, false
 		ag.outbox.inquiries = nil
+		if ok {
+			pl.noteHostMayBeNew(now.Add(earlyDelay), ag)
+		}
 	}
+	former := ag.report.State
 	ag.apply(record)
+	pl.noteState(now, ag, former)
 	pl.addToPool(ag)
 	pl.unpark(now)
 	return pl.actions
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -82,7 +82,9 @@
 
 // search is the state of a search for the agent of a flow.
 type search struct {
-	round        round
+	round round
+	// early says that this is the check of a flow that isn't in use.
+	early        bool
 	acknowledged uint32
 	buffered     [][]byte
 	// absent are the agents that have said that their hosts don't hold the flow. It is
@@ -162,6 +164,7 @@
 		return
 	}
 	tf := &trackedFlow{flow: pk.Flow, opened: now, number: pk.Sequence, index: -1}
+	tf.noteAcknowledged(pk)
 	pl.flows.put(now, pk.Flow, tf)
 	pl.restartSearch(now, tf, pk, data)
 }
@@ -327,9 +330,16 @@
 // were asked have answered.
 func (pl *Placer) noteAnswer(now time.Time, tf *trackedFlow, ag *agent, an absence.Answer) {
 	se := tf.search
+	if tf.phase == phaseLocated && se.early {
+		pl.noteEarlyAnswer(now, tf, ag, an)
+		return
+	}
 	if tf.phase != phaseSearching && tf.phase != phaseLost {
 		return
 	}
+	if an.IsAbsent() {
+		an = absence.Absent
+	}
 	if an == absence.Held {
 		pl.locate(tf, ag)
 		return
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -37,6 +37,10 @@
 	openingSequence uint32
 	// number is the sequence number of the caller's last packet.
 	number uint32
+	// acknowledged is the highest number that the caller has acknowledged since the flow
+	// was established. ended says that it has closed or reset the flow.
+	acknowledged uint32
+	ended        bool
 	// copies has a bit for each copy of the opening packet that has arrived.
 	copies  uint8
 	service string
@@ -52,7 +56,8 @@
 	// extended says that the deadline of this attempt was extended by
 	// tickDelayGrace.
 	extended bool
-	// search is the state of a search in phaseSearching and phaseLost, nil in other phases.
+	// search is the state of a search in phaseSearching and phaseLost, and of an early check
+	// in phaseLocated. Otherwise it is nil.
 	search *search
 	// deadline is when Tick handles the flow next; index is its position in the
 	// heap, -1 while it has no deadline.
