--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -132,8 +132,10 @@
 	if !ok {
 		return nil
 	}
+	former := ag.report.State
 	ag.report = re
 	pl.newestVersion = max(pl.newestVersion, re.Version)
+	pl.noteState(now, ag, former)
 	ag.reported = now
 	ag.presumedCold = time.Time{}
 	ag.sent = 0
