fix(change): late writes do not harm a root in a restored store

Cause: a restore can take the shards of a change whose update of the root is on its way, and bring back shards that a late deletion aims at. The store gives the same versions out again, so both met their conditions.

Change: what depends on a write names a version that the store gave out after that write. A change raises the fence after its shards and updates the root on the condition of the fence; a collection writes a shard again after its fence and deletes that version, and spares all if the era has changed. archive.Eras counts the eras of all answers. A REINSTATE whose root write got no answer ends as unknown when the store is lost afterwards; it said refused.

A change costs one update of the root more.

--- a/internal/coordination/archive/era.go
+++ b/internal/coordination/archive/era.go
@@ -21,8 +21,9 @@
 // object in a new era copies it from the newest earlier one.
 //
 // The versions that are handed out hold the era, so that versions of different eras
-// differ. All calls of other objects pass unchanged. Eras is not safe for concurrent
-// use.
+// differ. All calls of other objects pass unchanged, but a later era in their answers
+// counts too: a write of the object that was prepared in an earlier era is not sent
+// any more. Eras is not safe for concurrent use.
 type Eras struct {
 	name string
 	// present is the era of the last answer, 1 before the first.
@@ -43,7 +44,9 @@
 // of an earlier era is answered with ResultUnanswered.
 func (er *Eras) Perform(ca Call, do func(Call) Answer) Answer {
 	if ca.Name != er.name {
-		return do(ca)
+		an := do(ca)
+		er.present = max(er.present, an.Object.Era)
+		return an
 	}
 	switch ca.Kind {
 	case KindPut, KindDelete:
--- a/internal/coordination/change/commit.go
+++ b/internal/coordination/change/commit.go
@@ -63,8 +63,7 @@
 	// OutcomeAccepted says that the change is in the store and will be in
 	// force everywhere.
 	OutcomeAccepted OutcomeKind = iota + 1
-	// OutcomeRefused says that the change did not and will not take effect. A
-	// refused Reinstatement may have taken effect; see its rootWritten.
+	// OutcomeRefused says that the change did not and will not take effect.
 	OutcomeRefused
 	// OutcomeUnknown says that the write of the root may or may not take effect:
 	// its answer was lost or not awaited, and reading the store did not tell. A
@@ -125,6 +124,7 @@
 	stepReadRoot step = iota
 	stepReadShards
 	stepWriteShards
+	stepBindShards
 	stepWriteRoot
 	stepCheckWrite
 	stepReadPage
@@ -147,7 +147,7 @@
 	attempts    int
 
 	// rootVersion is the store's version of the root object that the attempt
-	// started from, zero if there was none.
+	// started from, or that of the fence it has raised since; zero if there was none.
 	rootVersion uint64
 	// before is the root that the attempt started from, snapshot is before with
 	// its shards, and after is the root that the attempt writes.
@@ -241,6 +241,8 @@
 		return co.shardRead(an)
 	case stepWriteShards:
 		return co.shardWritten(an)
+	case stepBindShards:
+		return co.shardsBound(an)
 	case stepWriteRoot:
 		return co.rootWritten(an)
 	case stepCheckWrite:
--- a/internal/coordination/change/garbage_collection.go
+++ b/internal/coordination/change/garbage_collection.go
@@ -22,8 +22,11 @@
 // names. So no root can come to refer to a deleted shard, however slowly an
 // attempt or a collection proceeds.
 //
-// A deletion is conditional on the listed version of the object, so it spares a
-// shard that a Reinstatement has written again since it was listed.
+// Before a shard is deleted it is written again with the same value, on the condition
+// of the listed version, and the deletion names the version that this gave. So it spares
+// a shard that a Reinstatement has written again since it was listed. It also spares one
+// that came back with a restored store: a copy from before the fence holds the shard
+// in its former version, and the root of a later copy doesn't refer to it.
 type GarbageCollection struct {
 	step collectionStep
 	// rootVersion is the store's version of the root object that was read.
@@ -32,8 +35,13 @@
 	unreferenced []archive.Object
 	calls        uint64
 	waiting      int
-	removed      int
-	finished     bool
+	// era is the store's era when the fence was raised. In a later era the store may have
+	// come back from a copy without the fence.
+	era uint64
+	// deletions are the shards about which a call is open, by the call's ID.
+	deletions map[uint64]deletion
+	removed   int
+	finished  bool
 }
 
 // collectionStep says which answers a collection waits for.
@@ -48,7 +56,7 @@
 
 // NewGarbageCollection returns a collection that has not started.
 func NewGarbageCollection() *GarbageCollection {
-	return &GarbageCollection{}
+	return &GarbageCollection{deletions: make(map[uint64]deletion)}
 }
 
 // Done reports whether the collection has ended.
@@ -81,7 +89,7 @@
 func (gc *GarbageCollection) Handle(_ time.Time, an archive.Answer) []archive.Call {
 	gc.waiting--
 	if gc.step == collectionDeleteShards {
-		return gc.shardDeleted(an)
+		return gc.shardAnswered(an)
 	}
 	if an.Result != archive.ResultDone {
 		return gc.finish()
@@ -92,7 +100,7 @@
 	case collectionListShards:
 		return gc.shardsListed(an)
 	default:
-		return gc.fenceWritten()
+		return gc.fenceWritten(an)
 	}
 }
 
@@ -119,21 +127,50 @@
 	return []archive.Call{gc.call(archive.KindPut, ob)}
 }
 
-func (gc *GarbageCollection) fenceWritten() []archive.Call {
+// fenceWritten reads the shards to be deleted.
+func (gc *GarbageCollection) fenceWritten(an archive.Answer) []archive.Call {
+	gc.era = an.Object.Era
 	gc.step = collectionDeleteShards
 	var calls []archive.Call
 	for _, ob := range gc.unreferenced {
-		calls = append(calls, gc.call(archive.KindDelete, ob))
+		calls = append(calls, gc.call(archive.KindGet, archive.Object{Name: ob.Name}))
+		gc.deletions[gc.calls] = deletion{kind: archive.KindGet, listed: ob.Version}
 	}
 	return calls
 }
 
-func (gc *GarbageCollection) shardDeleted(an archive.Answer) []archive.Call {
-	if an.Result == archive.ResultDone {
+// deletion is what a collection has done about one shard: the kind of the open call is
+// KindGet, KindPut or KindDelete, in this order.
+type deletion struct {
+	listed uint64
+	kind   archive.Kind
+}
+
+// shardAnswered goes on with one shard: it writes again what was read, and then deletes
+// what was written. A shard for which a call failed, or that has changed, stays, and so
+// do all if the store was restored since the fence was raised.
+func (gc *GarbageCollection) shardAnswered(an archive.Answer) []archive.Call {
+	de := gc.deletions[an.ID]
+	delete(gc.deletions, an.ID)
+	switch {
+	case an.Result != archive.ResultDone:
+	case de.kind == archive.KindDelete:
 		gc.removed++
+	case an.Object.Era != gc.era:
+	case de.kind == archive.KindPut:
+		return gc.goOn(archive.KindDelete, archive.Object{Name: an.Object.Name, Version: an.Object.Version})
+	case an.Object.Version == de.listed:
+		return gc.goOn(archive.KindPut, archive.Object{Name: an.Object.Name, Version: de.listed, Value: an.Object.Value})
 	}
 	if gc.waiting > 0 {
 		return nil
 	}
 	return gc.finish()
 }
+
+// goOn returns the next call about a shard.
+func (gc *GarbageCollection) goOn(kind archive.Kind, ob archive.Object) []archive.Call {
+	ca := gc.call(kind, ob)
+	gc.deletions[ca.ID] = deletion{kind: kind}
+	return []archive.Call{ca}
+}
--- a/internal/coordination/change/reinstatement.go
+++ b/internal/coordination/change/reinstatement.go
@@ -25,8 +25,10 @@
 	// writes are the writes of the shards, issued once unreadShards is zero.
 	writes   []archive.Call
 	attempts int
-	done     bool
-	outcome  Outcome
+	// sent says that a write of the root was sent whose effect isn't known.
+	sent    bool
+	done    bool
+	outcome Outcome
 }
 
 // NewReinstatement returns a reinstatement of the snapshot that has not
@@ -45,6 +47,18 @@
 	return re.outcome
 }
 
+// unreachable ends the reinstatement because a call to the store failed. The outcome is
+// unknown if an earlier attempt may have written the root.
+func (re *Reinstatement) unreachable() []archive.Call {
+	if re.sent {
+		return re.finish(OutcomeUnknown, unconfirmed)
+	}
+	return re.finish(OutcomeRefused, ErrUnreachable.Error())
+}
+
+// unconfirmed is the reason of an unknown outcome.
+const unconfirmed = "the store did not confirm the write; issue REINSTATE again"
+
 func (re *Reinstatement) finish(kind OutcomeKind, reason string) []archive.Call {
 	re.done = true
 	re.outcome.Kind = kind
@@ -104,7 +118,7 @@
 			return re.finish(OutcomeRefused, "the store holds version "+ro.Version.String()+", which is not older")
 		}
 	default:
-		return re.finish(OutcomeRefused, ErrUnreachable.Error())
+		return re.unreachable()
 	}
 	re.step = stepReadShards
 	re.unreadShards = len(re.snapshot.Values)
@@ -137,7 +151,7 @@
 		ob.Version = an.Object.Version
 	case archive.ResultNotFound:
 	default:
-		return re.finish(OutcomeRefused, ErrUnreachable.Error())
+		return re.unreachable()
 	}
 	ob.Value, _ = re.snapshot.value(ob.Name)
 	re.unreadShards--
@@ -154,7 +168,7 @@
 	case an.Result != archive.ResultDone && re.attempts < MaxAttempts:
 		return re.Start(now)
 	case an.Result != archive.ResultDone:
-		return re.finish(OutcomeRefused, ErrUnreachable.Error())
+		return re.unreachable()
 	case re.waiting > 0:
 		return nil
 	}
@@ -169,15 +183,15 @@
 
 // rootWritten starts another attempt unless the write succeeded. If the write
 // took effect although its answer was lost, that attempt finds the version in
-// the store. If the store can't be reached any more, that attempt ends with
-// OutcomeRefused, although the write may have taken effect; reinstating the
-// version once more does no harm.
+// the store. If the store can't be reached any more, the outcome is unknown;
+// reinstating the version once more does no harm.
 func (re *Reinstatement) rootWritten(now time.Time, an archive.Answer) []archive.Call {
 	if an.Result == archive.ResultDone {
 		return re.finish(OutcomeAccepted, "the store holds this version again")
 	}
+	re.sent = re.sent || an.Result == archive.ResultUnanswered
 	if re.attempts >= MaxAttempts {
-		return re.finish(OutcomeUnknown, "the store did not confirm the write; issue REINSTATE again")
+		return re.finish(OutcomeUnknown, unconfirmed)
 	}
 	return re.Start(now)
 }
--- a/internal/coordination/change/root.go
+++ b/internal/coordination/change/root.go
@@ -9,8 +9,9 @@
 // passes to another owner.
 //
 // A change first writes new shards under names that are never used again. It
-// then writes the root on the condition that the store still has the version of
-// the root object that the change read (compare and swap). This one comparison
+// then raises the fence of the root on the condition that the store still has the
+// version of the root object that the change read (compare and swap), and writes
+// the root on the condition of the version that this gave. This one comparison
 // rejects the write of a process that was paused, of an owner who lost the
 // authority meanwhile, and of an operator who changed the configuration at the
 // same time.
--- a/internal/coordination/change/write.go
+++ b/internal/coordination/change/write.go
@@ -39,7 +39,35 @@
 	if co.waiting > 0 {
 		return nil
 	}
-	return co.writeRoot()
+	return co.bindShards()
+}
+
+// bindShards raises the fence of the root that the attempt started from, so that the
+// root's write names a version that the store gave out after it had the shards.
+// Otherwise a write of the root that arrives after the store was restored from a copy
+// without the shards could meet its condition.
+func (co *Commit) bindShards() []archive.Call {
+	if co.rootVersion == 0 {
+		return co.writeRoot()
+	}
+	co.step = stepBindShards
+	ob := archive.Object{Name: RootName, Version: co.rootVersion, Value: raiseFence(co.before).Encode()}
+	return []archive.Call{co.call(archive.KindPut, ob)}
+}
+
+// shardsBound writes the root on the condition of the raised fence. Without an answer the
+// next attempt begins: no root of this one was written.
+func (co *Commit) shardsBound(an archive.Answer) []archive.Call {
+	switch an.Result {
+	case archive.ResultDone:
+		co.rootVersion = an.Object.Version
+		co.after.Fence++
+		return co.writeRoot()
+	case archive.ResultConflict, archive.ResultUnanswered:
+		return co.retry()
+	default:
+		return co.refuse("the store refused the change or was not reached; nothing was changed")
+	}
 }
 
 func (co *Commit) writeRoot() []archive.Call {
