--- a/internal/coordination/carriage/evacuated_simulation_test.go
+++ b/internal/coordination/carriage/evacuated_simulation_test.go
@@ -236,7 +236,7 @@
 		for range rapid.IntRange(0, 6).Draw(rt, "faults") {
 			scheduleFault(rt, si)
 		}
-		for range rapid.IntRange(0, 3).Draw(rt, "evacuations") {
+		for range rapid.IntRange(0, 3).Draw(rt, "changesOfTheSet") {
 			at := time.Duration(rapid.IntRange(0, 6000).Draw(rt, "evacuatedAt")) * time.Millisecond
 			domains := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 3, rapid.ID).Draw(rt, "domains")
 			si.after(at, func() { si.evacuate(100*time.Millisecond, domains...) })
