test(carriage): callers open kept flows while hosts restart

All kept flows of the random test but those of reused ports were opened within the first half second, so hosts that had restarted held few flows that a balancer could reset. As many again are now opened within 8 s.

--- a/internal/coordination/carriage/absence_random_test.go
+++ b/internal/coordination/carriage/absence_random_test.go
@@ -432,6 +432,15 @@
 	}
 }
 
+// keepMore lets callers open kept flows at the start and, as many again, one after the other
+// within 8 s, so that hosts that have restarted hold some.
+func (mo *absenceModel) keepMore(count int, end time.Time, pause time.Duration) {
+	mo.keepAll(count, end, pause)
+	for i := range count {
+		mo.after(time.Duration(i)*8*time.Second/time.Duration(count), func() { mo.keep(end, pause) })
+	}
+}
+
 // A reset of a flow that a living host holds breaks a promise. A packet on a flow that no
 // host holds, without an answer, costs its caller the whole time budget of a request.
 func TestAbsenceWithRandomDisturbances(t *testing.T) {
@@ -440,7 +449,7 @@
 		end := began.Add(12 * time.Second)
 		pause := drawMillis(rt, 100, 2000, "pause")
 		mo.load(rapid.IntRange(5, 40).Draw(rt, "rate"), began.Add(6*time.Second))
-		mo.keepAll(rapid.IntRange(1, 30).Draw(rt, "kept"), end, pause)
+		mo.keepMore(rapid.IntRange(1, 30).Draw(rt, "kept"), end, pause)
 		mo.reopenAll(rapid.IntRange(1, 20).Draw(rt, "ports"), drawMillis(rt, 1000, 5000, "rest"), end, pause)
 		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
 			mo.scheduleFault(rt)
