--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -38,7 +38,7 @@
 			ga.certainty.FirstCheckIn(ci.StartedAt, ci.Sequence)
 		}
 	} else {
-		ga.certainty.EarlierCheckIn(ci.StartedAt)
+		ga.certainty.NextCheckIn(ci.StartedAt)
 	}
 	if ci.Draining && !ga.host.Draining && ga.known && !ga.presumed {
 		// drainStart stays zero for a host that was draining before the agent
@@ -50,6 +50,7 @@
 	ga.presumed = false
 	ga.gone = false
 	ga.host = ci
+	ga.presumedCold = time.Time{}
 	ga.checkedIn = now
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
@@ -90,6 +91,7 @@
 	ga.known = true
 	ga.presumed = true
 	ga.host = CheckIn{Service: ga.service, Slots: presumedSlots}
+	ga.presumeCold(now)
 	ga.hostHeard(now)
 	ga.announceIfChanged(now)
 	return ga.actions
@@ -143,6 +145,7 @@
 		return ga.actions, false
 	}
 	ga.gone = true
+	ga.goneByName = ga.known && !ga.presumed
 	ga.announceIfChanged(now)
 	return ga.actions, true
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -59,6 +59,8 @@
 	evacuations       evacuation.Set
 	awaitsEvacuations bool
 	parking           parking
+	// sharing is the number of other balancers that take new work.
+	sharing int
 	isolation
 	agents map[netip.AddrPort]*agent
 	// pools holds the agents of each service, sorted by address.
@@ -83,6 +85,7 @@
 	// says that its view is complete since then.
 	listed  time.Time
 	settled bool
+	early   earlyResets
 	actions []Action
 }
 
@@ -139,7 +142,7 @@
 
 // Deadline returns when Tick is due, zero if nothing is.
 func (pl *Placer) Deadline() time.Time {
-	list := append(make([]time.Time, 0, 5), pl.questionsDue(), pl.settlesAt(), pl.parking.retry)
+	list := append(make([]time.Time, 0, 6), pl.questionsDue(), pl.settlesAt(), pl.parking.retry, pl.earlyDue())
 	if len(pl.due.items) > 0 {
 		list = append(list, pl.due.items[0].due())
 	}
@@ -180,6 +183,7 @@
 	}
 	pl.settleView(now)
 	pl.serveTurns(now)
+	pl.checkRemembered(now)
 	pl.sendDueInquiries(now)
 	pl.unpark(now)
 	for len(pl.pings.items) > 0 && !now.Before(pl.pings.items[0].nextPing) {
@@ -201,6 +205,9 @@
 		return pl.actions
 	}
 	tf, known := pl.flows.get(now, pk.Flow)
+	if known {
+		tf.endEarlyCheck()
+	}
 	if pk.Opening && !pk.Resets {
 		pl.handleOpening(now, pk, data, tf)
 		return pl.actions
@@ -218,6 +225,7 @@
 		return pl.actions
 	}
 	tf.number = pk.Sequence
+	tf.noteAcknowledged(pk)
 	switch tf.phase {
 	case phaseSearching:
 		if !near(tf.search.acknowledged, pk.Acknowledged) {
@@ -288,6 +296,9 @@
 	case ReasonBusy:
 		tf.busy = append(tf.busy, from)
 		pl.place(now, tf)
+	case ReasonWarming:
+		tf.noteWarming(ag)
+		pl.place(now, tf)
 	case ReasonFull:
 		pl.refuseOpening(now, tf, why)
 	case ReasonEvacuated:
--- a/internal/coordination/carriage/pool.go
+++ b/internal/coordination/carriage/pool.go
@@ -57,11 +57,18 @@
 		pl.removeFromPool(ag)
 	}
 	if ag.revision.Incarnation != record.Incarnation {
-		// The agent was restarted, perhaps with another build.
+		// The agent was restarted, perhaps with another build. It doesn't answer what the
+		// earlier process was asked, and isn't silent for that reason.
 		ag.outbox.batches, ag.outbox.former = false, false
+		ag.outbox.inquiries = nil
+		if ok {
+			pl.noteHostMayBeNew(now.Add(earlyDelay), ag)
+		}
 	}
+	former := ag.report.State
 	ag.apply(record)
 	ag.evacuated = pl.evacuations.Contains(ag.domain)
+	pl.noteState(now, ag, former)
 	pl.addToPool(ag)
 	pl.unpark(now)
 	return pl.actions
@@ -72,6 +79,7 @@
 	ag.revision = record.Revision
 	ag.service, ag.domain = record.Service, record.Domain
 	ag.report.State = record.State
+	ag.presumedCold = time.Time{}
 	if record.Slots > 0 {
 		ag.report.Slots = record.Slots
 	}
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -25,9 +25,11 @@
 
 // trackedFlow is what a balancer knows of one flow.
 type trackedFlow struct {
-	flow   Flow
-	phase  phase
-	agent  *agent
+	flow  Flow
+	phase phase
+	agent *agent
+	// opened is when the first copy of the opening packet that the balancer has handled
+	// arrived.
 	opened time.Time
 	// opening is the opening packet until it is confirmed.
 	opening []byte
@@ -37,6 +39,10 @@
 	openingSequence uint32
 	// number is the sequence number of the caller's last packet.
 	number uint32
+	// acknowledged is the highest number that the caller has acknowledged since the flow
+	// was established. ended says that it has closed or reset the flow.
+	acknowledged uint32
+	ended        bool
 	// copies has a bit for each copy of the opening packet that has arrived.
 	copies  uint8
 	service string
@@ -44,6 +50,10 @@
 	// of them that declined it because their hosts were busy.
 	tried []netip.AddrPort
 	busy  []netip.AddrPort
+	// mode is the mode in which the opening was sent last; warming are the agents that
+	// declined to queue it because their hosts are cold.
+	mode    DeliveryMode
+	warming []netip.AddrPort
 	// unconfirmed says that a host may have accepted the opening, or may still do
 	// so, without its confirmation being known here.
 	unconfirmed bool
@@ -55,7 +65,8 @@
 	// extended says that the deadline of this attempt was extended by
 	// tickDelayGrace.
 	extended bool
-	// search is the state of a search in phaseSearching and phaseLost, nil in other phases.
+	// search is the state of a search in phaseSearching and phaseLost, and of an early check
+	// in phaseLocated. Otherwise it is nil.
 	search *search
 	// deadline is when Tick handles the flow next; index is its position in the
 	// heap, -1 while it has no deadline.
@@ -123,6 +134,9 @@
 	if slices.Contains(tf.evacuated, ag.domain) {
 		return true
 	}
+	if tf.hasDeclinedToQueue(ag) {
+		return true
+	}
 	if len(tf.busy) >= maxOffers && slices.Contains(tf.busy, ag.address) {
 		return false
 	}
