feat(carriage): rank hosts by remaining work behind the setting Placement

The count of requests in progress says little where requests cost very different amounts of work. With Placement RemainingWork agents report, behind the expected load, the work that goes before a new request, the mean cost, the cost of an opening of the confirmed route, and by how much kind and age predict the rest of a request better than a count (14 bytes). A report also goes before a declined opening, whose message has no room for it. Balancers rank a service's hosts by this load while half of them report it and the advantage is at least 0.2 (0.1 once begun), else by counts; a change is logged and counted.

The default is Counts: agents then learn nothing, and their messages have the bytes of the former build. Reports with missing or absurd figures change nothing.

--- a/internal/coordination/carriage/action.go
+++ b/internal/coordination/carriage/action.go
@@ -48,6 +48,9 @@
 	KindHeld
 	// KindAnnounce sends the agent's report to the balancers at once.
 	KindAnnounce
+	// KindRanking only reports that the hosts of Service are now ranked by remaining
+	// work, if Sure, or by counts.
+	KindRanking
 )
 
 // Action is one step that a Placer or Gate asks its caller to perform.
@@ -90,4 +93,12 @@
 	ServiceTime time.Duration
 	// Reported is when the agent's last report was received, zero if there was none.
 	Reported time.Time
+	// ByWork says that an opening's host was chosen by remaining work; Load is then its
+	// estimated load without the opening, in requests of the mean cost.
+	ByWork bool
+	Load   float64
+	// Service and Advantage are set for KindRanking: the service, and the mean of
+	// workload.Figures.Advantage of its hosts that report it, whose number is Attempt.
+	Service   string
+	Advantage float64
 }
--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -55,6 +55,8 @@
 	reported time.Time
 	// sent is the number of openings sent since the last report.
 	sent int
+	// sentLoad is the expected cost of these openings in requests of the mean cost.
+	sentLoad float64
 	// retrySlow is the time from which a slow host is ranked like one that isn't
 	// slow, until the next opening is sent to it.
 	retrySlow time.Time
@@ -89,12 +91,17 @@
 
 // cost returns the cost of placing a new flow at the agent's host; the lowest is
 // chosen. It is the share of the host's slots that are taken with this flow,
-// adjusted for slow, warming and remote hosts. The median is that of the service
-// times of the service's hosts, zero if unknown.
-func (pl *Placer) cost(now time.Time, ag *agent, median time.Duration) float64 {
-	cost := (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * ag.slowness(now, median)
-	if ag.report.State == register.StateWarming {
-		cost *= warmingFactor
+// adjusted for slow, warming and remote hosts. In the ranking by remaining work the
+// requests count with their expected costs.
+func (pl *Placer) cost(now time.Time, ag *agent, ra ranking) float64 {
+	var cost float64
+	if ra.byWork() {
+		cost = ag.costByWork(now, ra)
+	} else {
+		cost = (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * ag.slowness(now, ra.median)
+		if ag.report.State == register.StateWarming {
+			cost *= warmingFactor
+		}
 	}
 	if ag.domain != pl.domain {
 		cost += remoteCost
@@ -112,14 +119,14 @@
 	var best *agent
 	least := math.Inf(1)
 	preferred := pl.candidatesOf(tf.flow, tf.service)
-	median := pl.medianOf(now, tf.service)
+	ra := pl.rankingOf(now, tf.flow, tf.service)
 	start := int(tf.flow.Hash() % uint64(len(pool)))
 	for i := range pool {
 		ag := pool[(start+i)%len(pool)]
 		if tf.hasTried(ag) || !ag.acceptsOpenings() {
 			continue
 		}
-		cost := pl.cost(now, ag, median) + ag.extraCost()
+		cost := pl.cost(now, ag, ra) + ag.extraCost()
 		if !preferred.contains(ag) {
 			cost += nonCandidateCost
 		}
@@ -159,8 +166,9 @@
 	}
 	ag.report = re
 	ag.reported = now
-	ag.sent = 0
+	ag.sent, ag.sentLoad = 0, 0
 	pl.markAlive(now, ag)
+	pl.reviewRanking(now, ag.service)
 	return ag
 }
 
@@ -184,7 +192,7 @@
 	}
 	ag.suspect = true
 	ag.pings = 0
-	ag.sent = 0
+	ag.sent, ag.sentLoad = 0, 0
 	ag.nextPing = now
 	heap.Push(&pl.pings, ag)
 	pl.actions = append(pl.actions, Action{Kind: KindSuspect, To: ag.address, Reported: ag.reported})
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/workload"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -114,6 +115,8 @@
 	// number of requests in progress that open flows have brought after their first.
 	requests serviceTime
 	expected loadAverage
+	// work follows the host's remaining work, nil if hosts are ranked by counts.
+	work *workload.Host
 	// handshakes are the openings delivered to the host whose handshakes may still
 	// be in progress, the oldest first.
 	handshakes []*hostFlow
@@ -140,15 +143,21 @@
 	// FirstStart says that the whole system starts for the first time, so that
 	// no host holds a flow yet.
 	FirstStart bool
+	// ReportsWork says that reports have the host's remaining work.
+	ReportsWork bool
 }
 
 // NewGate returns the Gate of an agent that starts now.
 func NewGate(now time.Time, st GateSettings) *Gate {
-	return &Gate{
+	ga := &Gate{
 		started: now, heartbeat: st.HeartbeatInterval, lifetime: st.FlowLifetime,
 		service: st.Service, hostAddress: st.HostAddress,
 		hostOlder: !st.FirstStart, flows: newRecent[*hostFlow](), queue: newQueue(st.OpeningTimeout), nextTick: now,
 	}
+	if st.ReportsWork {
+		ga.work = workload.NewHost()
+	}
+	return ga
 }
 
 // SetRoutes replaces the routes unless the given ones are of a lower version.
@@ -162,7 +171,7 @@
 func (ga *Gate) Report(now time.Time) Report {
 	re := Report{
 		State: ga.state(now), InProgress: uint16(min(ga.InProgress(), 1<<16-1)), Slots: ga.host.Slots,
-		ServiceTime: ga.requests.mean, Expected: ga.expected.at(now),
+		ServiceTime: ga.requests.mean, Expected: ga.expected.at(now), Work: ga.workFigures(now),
 	}
 	if ga.routes != nil {
 		re.Version = ga.routes.Version
--- a/internal/coordination/carriage/hostflow.go
+++ b/internal/coordination/carriage/hostflow.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"net/netip"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/coordination/workload"
 )
 
 // stage is the state of a flow at its host, as far as the agent knows.
@@ -39,6 +41,9 @@
 	// all copies.
 	openingSequence uint32
 	exchange        exchange
+	// request is the request in progress in the host's remaining work, nil if there is
+	// none.
+	request *workload.Request
 	// working says that the flow counts as in progress: its opening or its request
 	// is not yet answered. answering says that the host has sent data that the
 	// caller has not acknowledged.
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -32,6 +32,7 @@
 	hf.exchange.caller.start(fp.Sequence)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.setWorking(now, hf, true)
+	ga.expectWork(hf)
 	return hf
 }
 
--- a/internal/coordination/carriage/packet.go
+++ b/internal/coordination/carriage/packet.go
@@ -7,6 +7,7 @@
 
 	"github.com/dchest/siphash"
 
+	"corneltiller.dev/corneltiller/internal/coordination/workload"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
@@ -75,6 +76,9 @@
 	// ServiceTime is how long the host takes for a request on average, zero
 	// while none was seen.
 	ServiceTime time.Duration
+	// Work is what the host still has to do, its zero value if the agent doesn't
+	// report it.
+	Work workload.Figures
 	// Version is the version of the agent's configuration.
 	Version uint64
 }
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -59,7 +59,9 @@
 	pools map[string]pool
 	// medians caches the median service time of each service.
 	medians map[string]medianTime
-	flows   recent[*trackedFlow]
+	// rankings decides between ranking by counts and by remaining work.
+	rankings rankings
+	flows    recent[*trackedFlow]
 	// due holds the flows that have a deadline, pings the suspected agents.
 	due     schedule[*trackedFlow]
 	pings   schedule[*agent]
@@ -75,6 +77,9 @@
 	OpeningTimeout time.Duration
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime time.Duration
+	// ByRemainingWork says that hosts are ranked by their remaining work where this
+	// predicts better than counts.
+	ByRemainingWork bool
 }
 
 // NewPlacer returns the Placer of a balancer that starts now.
@@ -83,7 +88,7 @@
 		domain: st.Domain, started: now, lifetime: st.FlowLifetime, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string]pool),
-		medians: make(map[string]medianTime),
+		medians: make(map[string]medianTime), rankings: newRankings(st.ByRemainingWork),
 		flows:   newRecent[*trackedFlow](),
 		parking: newParking(st.OpeningTimeout),
 	}
@@ -95,6 +100,7 @@
 	pl.actions = pl.actions[:0]
 	if pl.routes == nil || ro.Version >= pl.routes.Version {
 		pl.routes = ro
+		pl.rankings.forgetRoutes(ro)
 		pl.unpark(now)
 	}
 	return pl.actions
@@ -209,8 +215,10 @@
 func (pl *Placer) HandleDecline(now time.Time, from netip.AddrPort, pk Packet, data []byte, why Reason, re Report) []Action {
 	pl.actions = pl.actions[:0]
 	if known, ok := pl.agents[from]; ok {
-		// The report that comes with a declined packet lacks the expected load.
+		// The report that comes with a declined packet lacks the expected load and
+		// the remaining work; an agent that reports the latter has just sent it.
 		re.Expected = known.report.Expected
+		re.Work = known.report.Work
 	}
 	ag := pl.applyReport(now, from, re)
 	tf, ok := pl.flows.get(now, pk.Flow)
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -95,10 +95,12 @@
 	tf.agent = ag
 	tf.extended = false
 	ag.sent++
+	load, byWork := pl.addSentLoad(now, tf, ag)
 	pl.postponeSlowRetry(now, ag)
 	pl.forward(ag, tf.flow, tf.opening, Action{
 		Mode: mode, ServiceHash: serviceHash(tf.service), Opening: true, Attempt: len(tf.tried),
 		InProgress: ag.estimate(now), ServiceTime: ag.report.ServiceTime, Reported: ag.reported, Started: tf.started(),
+		ByWork: byWork, Load: load,
 	})
 	pl.setDeadline(tf, now.Add(ConfirmTimeout))
 }
@@ -131,6 +133,7 @@
 	if !ok || ag == nil || tf.phase != phaseOpening {
 		return pl.actions
 	}
+	pl.noteRouteCost(flow, re.Work)
 	pl.clearDeadline(tf)
 	tf.phase = phaseLocated
 	tf.agent = ag
--- a/internal/coordination/carriage/progress.go
+++ b/internal/coordination/carriage/progress.go
@@ -8,6 +8,9 @@
 // setWorking sets whether the flow counts as in progress: its opening or its
 // request was delivered and isn't answered.
 func (ga *Gate) setWorking(now time.Time, hf *hostFlow, working bool) {
+	if !working {
+		ga.removeWork(now, hf)
+	}
 	if hf.working != working {
 		hf.working = working
 		if working {
@@ -81,6 +84,7 @@
 	}
 	if ex.requested.IsZero() {
 		ex.requested = now
+		ga.beginWork(now, pk, hf)
 		if ex.answers > 0 {
 			// The caller sends another request, so it has the whole last answer.
 			ga.answerEnded()
@@ -116,6 +120,7 @@
 	if hf.working && !ex.requested.IsZero() {
 		took := now.Sub(ex.requested)
 		ga.requests.add(now, took)
+		ga.finishWork(now, hf)
 		if ex.answers == 0 && !hf.opened.IsZero() {
 			ga.queue.service.add(now, now.Sub(hf.opened))
 		}
--- a/internal/coordination/workload/figures.go
+++ b/internal/coordination/workload/figures.go
@@ -11,7 +11,8 @@
 
 // Figures are what an agent reports of the work of its host.
 type Figures struct {
-	// Remaining is the work that the host still has to do, in time of one slot.
+	// Remaining is the work that the host has to do before a slot is free for a new
+	// request, in time of one slot: the time until then times the number of slots.
 	Remaining time.Duration
 	// MeanCost is the expected cost of a request at the host, zero if the report has no
 	// figures.
@@ -32,17 +33,3 @@
 		fi.RouteCost >= 0 && fi.RouteCost <= maxDuration &&
 		!math.IsNaN(fi.Advantage) && !math.IsInf(fi.Advantage, 0)
 }
-
-// At returns the remaining work at the given time after the report, if nothing is added
-// to it. The slots that the report's requests in progress take work it off at one
-// millisecond per slot and millisecond, down to what the open flows bring on average,
-// which is given in slots.
-func (fi Figures) At(age time.Duration, busySlots int, openFlows float64) time.Duration {
-	steady := time.Duration(max(openFlows, 0) * float64(fi.MeanCost))
-	if fi.Remaining <= steady {
-		// It rises to the steady state in about the time of one request.
-		share := math.Exp2(-float64(max(age, 0)) / float64(max(fi.MeanCost, 1)))
-		return steady - time.Duration(share*float64(steady-fi.Remaining))
-	}
-	return max(fi.Remaining-time.Duration(max(busySlots, 1))*max(age, 0), steady)
-}
--- a/internal/coordination/workload/host.go
+++ b/internal/coordination/workload/host.go
@@ -115,20 +115,41 @@
 	return ho.model.Rest(now, rq.key, now.Sub(rq.started))
 }
 
+// InProgress returns the number of requests in progress, with those that are expected.
+func (ho *Host) InProgress() int { return len(ho.inProgress) }
+
 // Cost returns the expected cost of a request, zero while nothing is known.
 func (ho *Host) Cost(now time.Time, key cost.Key) time.Duration { return ho.model.Mean(now, key) }
 
-// Figures returns the figures of the host, all zero while nothing is known of it. The
-// expected cost of what is queued is given as a time, the requests in progress that
-// open flows bring on average as their number.
-func (ho *Host) Figures(now time.Time, queued time.Duration, openFlows float64) Figures {
+// Figures returns the figures of the host, all zero while nothing is known of it. Given
+// are the number of openings that are queued and the number of requests in progress
+// that open flows bring on average. The queued ones count with the mean cost, not with
+// that of their routes: the newest is served first, so a long queue says that the host
+// is overloaded, but not for how long a further opening waits.
+func (ho *Host) Figures(now time.Time, queued int, openFlows float64) Figures {
 	if !ho.model.Known() {
 		return Figures{}
 	}
 	mean := max(ho.model.ServiceMean(now), 1)
-	remaining := queued + time.Duration(openFlows*float64(handshakeLead))
+	remaining := ho.wait(now)*time.Duration(ho.slots) + time.Duration(queued)*mean + time.Duration(openFlows*float64(handshakeLead))
+	return Figures{Remaining: min(remaining, maxDuration), MeanCost: min(mean, maxDuration), Advantage: ho.advantage(now)}
+}
+
+// wait returns the expected time until a slot is free for a further request. The sum of
+// the rests would not tell it: a long request leaves the other slots free.
+func (ho *Host) wait(now time.Time) time.Duration {
+	if len(ho.inProgress) < ho.slots {
+		return 0
+	}
+	ends := make([]time.Duration, ho.slots)
 	for _, rq := range ho.inProgress {
-		remaining += ho.rest(now, rq)
+		first := 0
+		for i, end := range ends {
+			if end < ends[first] {
+				first = i
+			}
+		}
+		ends[first] += ho.rest(now, rq)
 	}
-	return Figures{Remaining: min(remaining, maxDuration), MeanCost: min(mean, maxDuration), Advantage: ho.advantage(now)}
+	return slices.Min(ends)
 }
--- a/internal/protocol/waybill/waybill.go
+++ b/internal/protocol/waybill/waybill.go
@@ -194,7 +194,7 @@
 
 // AppendConfirm appends a KindConfirm message.
 func AppendConfirm(buffer []byte, flow carriage.Flow, re carriage.Report) []byte {
-	return appendExpected(appendFlow(appendReport(append(buffer, byte(KindConfirm)), re), flow), re)
+	return appendLoad(appendFlow(appendReport(append(buffer, byte(KindConfirm)), re), flow), re)
 }
 
 // DecodeConfirm returns the flow and the report of a KindConfirm message.
@@ -205,13 +205,13 @@
 	}
 	flow, err := decodeFlow(datagram[1+reportLength:])
 	if err == nil {
-		decodeExpected(&re, datagram[1+reportLength+flowLength:])
+		decodeLoad(&re, datagram[1+reportLength+flowLength:])
 	}
 	return flow, re, err
 }
 
 // AppendDecline appends a KindDecline message. It leaves the report's expected load
-// out.
+// and remaining work out.
 func AppendDecline(buffer []byte, reason carriage.Reason, re carriage.Report, packet []byte) []byte {
 	buffer = appendReport(append(buffer, byte(KindDecline)), re)
 	return append(append(buffer, byte(reason)), packet...)
@@ -277,14 +277,14 @@
 
 // AppendReport appends a KindReport message.
 func AppendReport(buffer []byte, re carriage.Report) []byte {
-	return appendExpected(appendReport(append(buffer, byte(KindReport)), re), re)
+	return appendLoad(appendReport(append(buffer, byte(KindReport)), re), re)
 }
 
 // DecodeReport returns the report of a KindReport message.
 func DecodeReport(datagram []byte) (carriage.Report, error) {
 	re, err := decodeReport(datagram[1:])
 	if err == nil {
-		decodeExpected(&re, datagram[1+reportLength:])
+		decodeLoad(&re, datagram[1+reportLength:])
 	}
 	return re, err
 }
--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -34,8 +35,28 @@
 	StopWithin Duration `min:"1s" max:"1h"`
 	// FlowLifetime is the longest time that a flow may last.
 	FlowLifetime Duration `min:"1s" max:"24h"`
+	// Placement is how balancers rank hosts for new flows: PlacementCounts by requests
+	// in progress, PlacementRemainingWork by the work that each host still has to do,
+	// as far as it is known. Agents report that work only with the latter.
+	Placement string
 }
 
+// The values of Carrier.Placement.
+const (
+	PlacementCounts        = "Counts"
+	PlacementRemainingWork = "RemainingWork"
+)
+
+// check adds the faults of values that tags can't describe.
+func (ca *Carrier) check(ch *checker) {
+	if ca.Placement != PlacementCounts && ca.Placement != PlacementRemainingWork {
+		ch.addFault("Placement", strconv.Quote(ca.Placement), `"`+PlacementCounts+`" or "`+PlacementRemainingWork+`"`)
+	}
+}
+
+// ByRemainingWork reports whether Placement is PlacementRemainingWork.
+func (ca *Carrier) ByRemainingWork() bool { return ca.Placement == PlacementRemainingWork }
+
 // CarrierBalancer holds the settings of a balancer that forwards flows on the
 // platform.
 type CarrierBalancer struct {
@@ -74,7 +95,9 @@
 
 // defaultCarrier returns the default settings that balancers and agents share.
 func defaultCarrier() Carrier {
-	return Carrier{StopWithin: Duration(defaultCarrierStopWithin), FlowLifetime: Duration(defaultFlowLifetime)}
+	return Carrier{
+		StopWithin: Duration(defaultCarrierStopWithin), FlowLifetime: Duration(defaultFlowLifetime), Placement: PlacementCounts,
+	}
 }
 
 // DefaultCarrierBalancer returns the default settings of a balancer that forwards
--- a/internal/state/settings/check.go
+++ b/internal/state/settings/check.go
@@ -38,6 +38,10 @@
 		st.check(ch)
 	case *Console:
 		st.check(ch)
+	case *CarrierBalancer:
+		st.check(ch)
+	case *CarrierAgent:
+		st.check(ch)
 	}
 }
 
--- a/internal/transport/carrier/agent.go
+++ b/internal/transport/carrier/agent.go
@@ -76,6 +76,7 @@
 		FlowLifetime:      time.Duration(co.Settings.FlowLifetime),
 		OpeningTimeout:    co.OpeningTimeout,
 		FirstStart:        co.Settings.FirstStart,
+		ReportsWork:       co.Settings.ByRemainingWork(),
 	})
 	no.onDeadline = func(now time.Time) {
 		if !now.Before(ag.gate.Deadline()) {
@@ -290,7 +291,7 @@
 		case carriage.KindConfirm:
 			klog.InfoS("Opening accepted", "flow", ac.Flow, "balancer", ac.To, "waits", ac.Reason == carriage.ReasonBusy,
 				"inProgress", ag.gate.InProgress())
-			ag.scratch = waybill.AppendConfirm(ag.scratch[:0], ac.Flow, ag.gate.Report(now))
+			ag.scratch = waybill.AppendConfirm(ag.scratch[:0], ac.Flow, ag.gate.ReportOn(now, ac.Flow))
 			ag.send(ac.To, ag.scratch)
 		case carriage.KindServed:
 			ag.metrics.Observe("ServedMilliseconds", ac.Flow.Service.String(), now.Sub(ac.Started))
@@ -299,8 +300,7 @@
 			ag.metrics.Count("Declined."+ac.Reason.String(), 1)
 			klog.InfoS("Packet declined", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening,
 				"balancer", ac.To, "acknowledged", ac.Acknowledged, "inProgress", ac.InProgress)
-			ag.scratch = waybill.AppendDecline(ag.scratch[:0], ac.Reason, ag.gate.Report(now), ac.Data)
-			ag.send(ac.To, ag.scratch)
+			ag.decline(now, ac)
 		case carriage.KindHeld:
 			klog.InfoS("Flow claimed", "flow", ac.Flow, "balancer", ac.To, "sure", ac.Sure, "acknowledged", ac.Acknowledged)
 			ag.scratch = waybill.AppendHeld(ag.scratch[:0], ac.Flow, ac.Sure)
@@ -314,6 +314,19 @@
 	}
 }
 
+// decline sends a packet back to the balancer. The message has no room for the host's
+// remaining work, which the balancer needs to choose the next host, so a report goes
+// before it if there is such work to report.
+func (ag *Agent) decline(now time.Time, ac *carriage.Action) {
+	re := ag.gate.Report(now)
+	if ac.Opening && re.Work.Valid() {
+		ag.scratch = waybill.AppendReport(ag.scratch[:0], re)
+		ag.send(ac.To, ag.scratch)
+	}
+	ag.scratch = waybill.AppendDecline(ag.scratch[:0], ac.Reason, re, ac.Data)
+	ag.send(ac.To, ag.scratch)
+}
+
 // deliver sends a caller's packet to the host.
 func (ag *Agent) deliver(ac *carriage.Action) {
 	if ac.Opening {
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -70,6 +71,7 @@
 	}
 	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
+		ByRemainingWork: co.Settings.ByRemainingWork(),
 	})}
 	no.onDeadline = func(now time.Time) { ba.performFlowActions(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
@@ -245,6 +247,8 @@
 			klog.InfoS("Agent silent", "agent", ac.To, "reportAge", reportAge(now, ac.Reported))
 		case carriage.KindRecovered:
 			klog.InfoS("Agent answers again", "agent", ac.To, "pings", ac.Attempt)
+		case carriage.KindRanking:
+			ba.noteRanking(ac)
 		}
 	}
 }
@@ -261,8 +265,26 @@
 		return
 	}
 	ba.metrics.Count("Openings", 1)
-	klog.InfoS("Opening placed", "flow", ac.Flow, "agent", ac.To, "attempt", ac.Attempt, "urgency", ac.Mode,
-		"inProgress", ac.InProgress, "serviceTime", ac.ServiceTime, "reportAge", reportAge(now, ac.Reported), "version", fo.Version)
+	fields := []any{
+		"flow", ac.Flow, "agent", ac.To, "attempt", ac.Attempt, "urgency", ac.Mode,
+		"inProgress", ac.InProgress, "serviceTime", ac.ServiceTime, "reportAge", reportAge(now, ac.Reported), "version", fo.Version,
+	}
+	if ac.ByWork {
+		ba.metrics.Count("OpeningsByWork", 1)
+		fields = append(fields, "load", math.Round(100*ac.Load)/100)
+	}
+	klog.InfoS("Opening placed", fields...)
+}
+
+// noteRanking counts and logs a change between ranking by counts and by remaining work.
+func (ba *Balancer) noteRanking(ac *carriage.Action) {
+	name := "RankingByCounts"
+	if ac.Sure {
+		name = "RankingByWork"
+	}
+	ba.metrics.Count(name, 1)
+	klog.InfoS("Ranking of hosts changed", "service", ac.Service, "byWork", ac.Sure,
+		"advantage", math.Round(100*ac.Advantage)/100, "reporting", ac.Attempt)
 }
 
 // sendReset sends a reset to the caller: its opening is refused or its flow is lost.
