--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -135,7 +135,7 @@
 		flow, startedAt := ho.waiting[0], ho.startedAt
 		ho.waiting = ho.waiting[1:]
 		ho.working++
-		si.after(ho.work/2+time.Duration(si.random.Int64N(int64(ho.work))), func() {
+		si.after(si.workOf(ho, flow), func() {
 			if !ho.alive || !ho.startedAt.Equal(startedAt) {
 				return
 			}
@@ -152,6 +152,14 @@
 	}
 }
 
+// workOf draws how long the host works on a request of the flow.
+func (si *simulation) workOf(ho *simHost, flow Flow) time.Duration {
+	if si.drawWork != nil {
+		return si.drawWork(ho, flow)
+	}
+	return ho.work/2 + time.Duration(si.random.Int64N(int64(ho.work)))
+}
+
 // answer sends the flow's last answer.
 func (si *simulation) answer(ho *simHost, flow Flow, fl *simFlow) {
 	number := fl.initialSequence + 1 + fl.sent - simAnswerBytes
@@ -182,6 +190,7 @@
 		if !ca.accepted && !ca.done {
 			ca.done = true
 			si.failed++
+			si.ended(ca)
 		}
 	})
 	return ca
@@ -193,6 +202,9 @@
 		return
 	}
 	ba := si.balancers[si.rotation[int(pk.Flow.Hash()%uint64(len(si.rotation)))]]
+	if si.steer != nil {
+		ba = si.balancers[si.steer(pk.Flow)]
+	}
 	si.send(func() {
 		if ba.live {
 			si.performBalancer(ba, ba.placer.HandlePacket(si.now, pk, encode(pk)))
@@ -242,6 +254,9 @@
 		return
 	}
 	si.served++
+	if si.onAnswer != nil {
+		si.onAnswer(ca, si.now.Sub(ca.began))
+	}
 	if si.now.Sub(ca.began) > 100*time.Millisecond {
 		si.lateAnswers++
 	}
@@ -301,6 +316,7 @@
 	if si.now.Sub(ca.began) > callerBudget {
 		ca.done = true
 		si.failed++
+		si.ended(ca)
 		return
 	}
 	si.fromCaller(Packet{Flow: ca.flow, Sequence: sent, Length: simRequestBytes, Acknowledged: ca.number})
@@ -318,6 +334,14 @@
 	}
 	ca.done = true
 	si.refused++
+	si.ended(ca)
+}
+
+// ended tells onEnd that the caller was not served.
+func (si *simulation) ended(ca *simCaller) {
+	if si.onEnd != nil {
+		si.onEnd(ca)
+	}
 }
 
 // load lets callers open flows at the average rate until the end.
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -83,6 +83,18 @@
 	copyTimes []time.Duration
 	// cut is a balancer that is cut off from all other processes, nil for none.
 	cut *simBalancer
+	// byWork says that hosts are ranked by remaining work.
+	byWork bool
+	// drawWork draws how long a host works on a request, nil for evenly spread times
+	// around the host's work.
+	drawWork func(ho *simHost, flow Flow) time.Duration
+	// steer returns the index of the balancer that gets a flow's packets, nil for one
+	// by the flow's hash.
+	steer func(flow Flow) int
+	// onAnswer is told the time from a caller's request to its answer, onEnd that a
+	// caller was refused or has given up; both may be nil.
+	onAnswer func(ca *simCaller, took time.Duration)
+	onEnd    func(ca *simCaller)
 
 	// The counts of what callers and hosts observed.
 	served, refused, failed int
@@ -178,8 +190,15 @@
 }
 
 func newSimulation(seed uint64, balancers, hosts int) *simulation {
+	return newRankedSimulation(seed, balancers, hosts, false)
+}
+
+// newRankedSimulation returns a simulation in which hosts may be ranked by remaining
+// work.
+func newRankedSimulation(seed uint64, balancers, hosts int, byWork bool) *simulation {
 	si := &simulation{
-		now: began, random: rand.New(rand.NewPCG(seed, 1)), callers: make(map[Flow]*simCaller),
+		byWork: byWork,
+		now:    began, random: rand.New(rand.NewPCG(seed, 1)), callers: make(map[Flow]*simCaller),
 		misdeliveries: make(map[Flow]*misdelivery),
 		former:        catalog.NewFormerServices(time.Minute),
 		copyTimes:     []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond},
@@ -232,7 +251,7 @@
 
 func (si *simulation) startBalancer(i int) {
 	ba := si.balancers[i]
-	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute})
+	ba.placer = NewPlacer(si.now, PlacerSettings{Domain: string(rune('a' + i%3)), OpeningTimeout: simOpeningTimeout, FlowLifetime: time.Minute, ByRemainingWork: si.byWork})
 	ba.live = true
 	si.rotation = append(si.rotation, i)
 	slices.Sort(si.rotation)
@@ -334,7 +353,7 @@
 	ho.gate = NewGate(si.now, GateSettings{
 		Service: ho.service, HostAddress: simHostAddress,
 		HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute, OpeningTimeout: simOpeningTimeout,
-		FirstStart: si.now.Equal(began),
+		FirstStart: si.now.Equal(began), ReportsWork: si.byWork,
 	})
 	ho.gate.SetRoutes(si.routes)
 	if ho.alive && si.now.Equal(began) {
@@ -472,10 +491,15 @@
 		case KindDeliver:
 			si.after(10*time.Microsecond, func() { si.hostReceives(ho, si.decode(ac, data), data) })
 		case KindConfirm:
+			re = ho.gate.ReportOn(si.now, ac.Flow)
 			si.toBalancer(ac.To, func(pl *Placer) []Action { return pl.HandleConfirmation(si.now, ho.address, ac.Flow, re) })
 		case KindDecline:
 			pk := si.decode(ac, data)
 			si.toBalancer(ac.To, func(pl *Placer) []Action {
+				if re.Work.Valid() {
+					// Agents send the report before the declined packet.
+					pl.HandleReport(si.now, ho.address, re)
+				}
 				return pl.HandleDecline(si.now, ho.address, pk, data, ac.Reason, re)
 			})
 		case KindHeld:
