--- a/internal/coordination/carriage/ranking_test.go
+++ b/internal/coordination/carriage/ranking_test.go
@@ -20,7 +20,7 @@
 	pl.SetRoutes(began, newSimulation(1, 1, 1).routes)
 	var addresses []netip.AddrPort
 	for i := range agents {
-		ag := Agent{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i + 1)}), 7000), Service: simService, Domain: "a"}
+		ag := Agent{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte((i + 1) >> 8), byte(i + 1)}), 7000), Service: simService, Domain: "a"}
 		ag.State, ag.Slots, ag.Incarnation = register.StateReady, 2, 1
 		setAgents(pl, ag)
 		addresses = append(addresses, ag.Address)
