--- a/internal/coordination/carriage/agent.go
+++ b/internal/coordination/carriage/agent.go
@@ -63,6 +63,8 @@
 	// suspect says that the agent did not confirm an opening in time and hasn't
 	// been heard since.
 	suspect bool
+	// evacuated says that the agent's failure domain is evacuated.
+	evacuated bool
 	// pings is the number of pings sent since the agent was suspected; index is its
 	// position in the schedule of pings, -1 if it isn't in it.
 	pings    int
@@ -76,7 +78,7 @@
 
 // takesNewFlows reports whether the agent is to get new flows.
 func (ag *agent) takesNewFlows() bool {
-	return !ag.suspect && ag.report.State.TakesNewWork()
+	return !ag.suspect && !ag.evacuated && ag.report.State.TakesNewWork()
 }
 
 // estimate returns the estimated number of requests that the host works on: the
@@ -93,12 +95,12 @@
 // chosen. It is the share of the host's slots that are taken with this flow,
 // adjusted for slow, warming and remote hosts. In the ranking by remaining work the
 // requests count with their expected costs.
-func (pl *Placer) cost(now time.Time, ag *agent, ra ranking) float64 {
+func (pl *Placer) cost(now time.Time, ag *agent, ba basis) float64 {
 	var cost float64
-	if ra.byWork() {
-		cost = ag.costByWork(now, ra)
+	if ba.byWork() {
+		cost = ag.costByWork(now, ba)
 	} else {
-		cost = (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * ag.slowness(now, ra.median)
+		cost = (ag.estimate(now) + 1) / float64(max(ag.report.Slots, 1)) * ag.slowness(now, ba.median)
 		if ag.report.State == register.StateWarming {
 			cost *= warmingFactor
 		}
@@ -109,41 +111,6 @@
 	return cost
 }
 
-// choose returns the agent with the lowest cost for a new flow among those that
-// were not tried, nil if none is left. Agents of draining hosts come last.
-func (pl *Placer) choose(now time.Time, tf *trackedFlow) *agent {
-	pool := pl.pools[tf.service]
-	if len(pool) == 0 {
-		return nil
-	}
-	var best *agent
-	least := math.Inf(1)
-	preferred := pl.candidatesOf(tf.flow, tf.service)
-	ra := pl.rankingOf(now, tf.flow, tf.service)
-	start := int(tf.flow.Hash() % uint64(len(pool)))
-	for i := range pool {
-		ag := pool[(start+i)%len(pool)]
-		if tf.hasTried(ag) || !ag.acceptsOpenings() {
-			continue
-		}
-		cost := pl.cost(now, ag, ra) + ag.extraCost()
-		if !preferred.contains(ag) {
-			cost += nonCandidateCost
-		}
-		if cost < least {
-			best, least = ag, cost
-		}
-	}
-	return best
-}
-
-// acceptsOpenings reports whether an opening may be sent to the agent. This is so
-// also for a draining host, which takes flows during drainGrace if no other host
-// does.
-func (ag *agent) acceptsOpenings() bool {
-	return ag.takesNewFlows() || !ag.suspect && ag.report.State == register.StateDraining
-}
-
 // drainingCost is added to the cost of a draining host. It is far above the cost
 // of any other host, so that those are chosen first.
 const drainingCost = 1000
@@ -168,7 +135,7 @@
 	ag.reported = now
 	ag.sent, ag.sentLoad = 0, 0
 	pl.markAlive(now, ag)
-	pl.reviewRanking(now, ag.service)
+	pl.reviewBasis(now, ag.service)
 	return ag
 }
 
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
@@ -52,16 +53,20 @@
 	// yet.
 	startup time.Time
 	routes  *catalog.Routes
-	parking parking
+	// evacuations are the failure domains whose agents get no openings; awaitsEvacuations
+	// says that none were set and openings wait for them.
+	evacuations       evacuation.Set
+	awaitsEvacuations bool
+	parking           parking
 	isolation
 	agents map[netip.AddrPort]*agent
 	// pools holds the agents of each service, sorted by address.
 	pools map[string]pool
 	// medians caches the median service time of each service.
 	medians map[string]medianTime
-	// rankings decides between ranking by counts and by remaining work.
-	rankings rankings
-	flows    recent[*trackedFlow]
+	// bases decides between ranking by counts and by remaining work.
+	bases bases
+	flows recent[*trackedFlow]
 	// due holds the flows that have a deadline, pings the suspected agents.
 	due     schedule[*trackedFlow]
 	pings   schedule[*agent]
@@ -80,6 +85,8 @@
 	// ByRemainingWork says that hosts are ranked by their remaining work where this
 	// predicts better than counts.
 	ByRemainingWork bool
+	// AwaitEvacuations makes openings wait until SetEvacuations was called.
+	AwaitEvacuations bool
 }
 
 // NewPlacer returns the Placer of a balancer that starts now.
@@ -88,9 +95,9 @@
 		domain: st.Domain, started: now, lifetime: st.FlowLifetime, startup: now.Add(startupTime),
 		agents:  make(map[netip.AddrPort]*agent),
 		pools:   make(map[string]pool),
-		medians: make(map[string]medianTime), rankings: newRankings(st.ByRemainingWork),
+		medians: make(map[string]medianTime), bases: newBases(st.ByRemainingWork),
 		flows:   newRecent[*trackedFlow](),
-		parking: newParking(st.OpeningTimeout),
+		parking: newParking(st.OpeningTimeout), awaitsEvacuations: st.AwaitEvacuations,
 	}
 }
 
@@ -100,16 +107,16 @@
 	pl.actions = pl.actions[:0]
 	if pl.routes == nil || ro.Version >= pl.routes.Version {
 		pl.routes = ro
-		pl.rankings.forgetRoutes(ro)
+		pl.bases.forgetRoutes(ro)
 		pl.unpark(now)
 	}
 	return pl.actions
 }
 
-// Ready reports whether the placer can serve callers: it has routes, knows at
-// least one agent and is not isolated.
+// Ready reports whether the placer can serve callers: it has routes and, unless
+// evacuation is off, the evacuated domains, knows at least one agent and is not isolated.
 func (pl *Placer) Ready(now time.Time) bool {
-	return pl.routes != nil && len(pl.agents) > 0 && !pl.isolated(now)
+	return pl.informed() && len(pl.agents) > 0 && !pl.isolated(now)
 }
 
 // Idle reports whether no opening waits or is unconfirmed, and no search is under way.
@@ -254,6 +261,9 @@
 		pl.place(now, tf)
 	case ReasonFull:
 		pl.refuseOpening(now, tf, why)
+	case ReasonEvacuated:
+		tf.evacuated = append(tf.evacuated, ag.domain)
+		pl.place(now, tf)
 	default:
 		pl.place(now, tf)
 	}
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -41,7 +41,7 @@
 	tf.noteCopy(pk.Copy)
 	pl.flows.put(now, pk.Flow, tf)
 	switch {
-	case pl.routes == nil:
+	case !pl.informed():
 		pl.park(now, tf)
 	case pl.isolated(now):
 		pl.refuseOpening(now, tf, ReasonIsolated)
@@ -73,14 +73,19 @@
 // it is parked or refused.
 func (pl *Placer) place(now time.Time, tf *trackedFlow) {
 	ag := pl.choose(now, tf)
-	switch {
-	case ag == nil || len(tf.tried) >= maxAttempts:
+	if ag == nil || len(tf.tried) >= maxAttempts {
 		pl.parkOrRefuse(now, tf)
-	case len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots):
-		pl.attempt(now, tf, ag, DeliverIfFree)
-	default:
-		pl.attempt(now, tf, ag, DeliverOrQueue)
+		return
+	}
+	pl.attempt(now, tf, ag, tf.modeAt(now, ag))
+}
+
+// modeAt returns the mode in which the opening is sent to the agent.
+func (tf *trackedFlow) modeAt(now time.Time, ag *agent) DeliveryMode {
+	if len(tf.busy) < maxOffers && ag.takesNewFlows() && ag.estimate(now) < float64(ag.report.Slots) {
+		return DeliverIfFree
 	}
+	return DeliverOrQueue
 }
 
 // attempt sends the opening packet to the agent and notes the agent as tried.
@@ -115,9 +120,9 @@
 
 // refuse answers an opening packet with a reset. A later copy (copyNumber > 0) is
 // dropped instead, as an earlier one may have been accepted meanwhile, and so is
-// any copy while the routes are unknown.
+// any copy while the routes are unknown, and for want of a host while the evacuations are.
 func (pl *Placer) refuse(flow Flow, copyNumber uint32, re Reason) {
-	if copyNumber > 0 || pl.routes == nil {
+	if copyNumber > 0 || pl.routes == nil || re == ReasonNoHost && !pl.informed() {
 		pl.drop(flow, re, true)
 		return
 	}
--- a/internal/coordination/carriage/ranking.go
+++ b/internal/coordination/carriage/ranking.go
@@ -1,230 +1,122 @@
 package carriage
 
 import (
-	"cmp"
-	"maps"
 	"math"
-	"net/netip"
-	"slices"
 	"time"
 
-	"corneltiller.dev/corneltiller/internal/coordination/workload"
-	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
+// skipReason is the reason why a host of the pool isn't considered for an opening.
+type skipReason uint8
+
 const (
-	// minAdvantage is the mean of workload.Figures.Advantage of a service's hosts from
-	// which its hosts are ranked by remaining work, keepAdvantage the one below which
-	// they are ranked by counts again. Service times that are exponential, or spread
-	// evenly by half their mean, stay below 0.12.
-	minAdvantage  = 0.2
-	keepAdvantage = 0.1
-	// rankingReview is the interval at which the ranking of a service is reviewed.
-	rankingReview = 100 * time.Millisecond
-	// retryRatio is the ratio of a host's mean cost to the median from which it is
-	// tried as if it had the median once in a while. A host that costs more gets few
-	// flows and would not be found to have recovered.
-	retryRatio = 1.25
-	// typicalShare is the weight of the mean load of all hosts in the load that a host is
-	// estimated to have when its report is old. With 0 all hosts that were not heard for
-	// a while seem idle, also when none is. With 1 none of them is tried, and the callers
-	// of one domain crowd its hosts. From 0.35 to 0.65 the loads of load_test.go hardly
-	// differ.
-	typicalShare = 0.5
-	// routeCostShare is the share of a new value in the average cost of a route.
-	routeCostShare = 0.1
+	skipNone skipReason = iota
+	// skipTried is a host that the opening was sent to before.
+	skipTried
+	// skipSuspected is a host whose agent is suspected.
+	skipSuspected
+	// skipState is a host that takes no new flows in its state. A draining host
+	// isn't skipped: it takes flows during drainGrace if no other host does.
+	skipState
+	// skipEvacuated is a host whose failure domain is evacuated.
+	skipEvacuated
+
+	// skipReasonCount is the number of reasons.
+	skipReasonCount
 )
 
-// rankings decides for each service whether its hosts are ranked by remaining work or
-// by counts, and keeps what the ranking by remaining work needs.
-type rankings struct {
-	// enabled says that ranking by remaining work is asked for.
-	enabled  bool
-	services map[string]serviceRanking
-	// routes holds the cost of an opening of each route in units of the mean cost at
-	// the same host.
-	routes map[netip.AddrPort]float64
-}
-
-// serviceRanking is the ranking of one service.
-type serviceRanking struct {
-	byWork bool
-	// meanCost is the median of the mean costs that the hosts report, typical the mean
-	// of their reported loads.
-	meanCost time.Duration
-	typical  float64
-	// review is when the ranking is reviewed next.
-	review time.Time
-}
-
-func newRankings(enabled bool) rankings {
-	return rankings{
-		enabled: enabled, services: make(map[string]serviceRanking), routes: make(map[netip.AddrPort]float64),
-	}
-}
-
-// forgetRoutes forgets the costs of addresses without a route.
-func (rn *rankings) forgetRoutes(ro *catalog.Routes) {
-	maps.DeleteFunc(rn.routes, func(address netip.AddrPort, _ float64) bool {
-		_, ok := ro.Addresses[address]
-		return !ok
-	})
+// evaluation is the evaluation of one host for one opening.
+type evaluation struct {
+	agent *agent
+	skip  skipReason
+	// candidate and cost are set only if the host isn't skipped. Of those hosts the
+	// one with the lowest cost is chosen.
+	candidate bool
+	cost      float64
 }
 
-// relativeCost returns the expected cost of an opening of the route in units of the
-// mean cost at the same host.
-func (rn *rankings) relativeCost(route netip.AddrPort) float64 {
-	if relative, ok := rn.routes[route]; ok {
-		return relative
-	}
-	return 1
-}
-
-// ranking is how the hosts of a service are ranked for one opening.
+// ranking evaluates the hosts of a service for one opening. It changes neither the
+// placer nor the flow. It is used by value, because one is made for each opening.
 type ranking struct {
-	// median is that of the service times of the hosts, zero if unknown.
-	median time.Duration
-	// meanCost is the median of the mean costs of the hosts, zero for the ranking by
-	// counts. relative is the cost of the opening in units of it, typical the mean load
-	// of the hosts.
-	meanCost time.Duration
-	relative float64
-	typical  float64
+	placer *Placer
+	now    time.Time
+	flow   *trackedFlow
+	pool   pool
+	// preferred are the flow's candidates; basis is what the hosts are ranked by.
+	preferred candidates
+	basis     basis
+	// first is the position in the pool of the host that is evaluated first. It
+	// depends on the flow, so that hosts of equal cost get equal shares.
+	first int
 }
 
-func (ra ranking) byWork() bool { return ra.meanCost > 0 }
-
-// rankingOf returns how the hosts of the service are ranked for the flow.
-func (pl *Placer) rankingOf(now time.Time, flow Flow, service string) ranking {
-	ra := ranking{median: pl.medianOf(now, service)}
-	if sr := pl.rankings.services[service]; sr.byWork {
-		ra.meanCost, ra.typical, ra.relative = sr.meanCost, sr.typical, pl.rankings.relativeCost(flow.Service)
+// rank returns the ranking of the hosts of the flow's service, given their median
+// service time.
+func (pl *Placer) rank(now time.Time, tf *trackedFlow, median time.Duration) ranking {
+	ra := ranking{placer: pl, now: now, flow: tf, pool: pl.pools[tf.service], basis: pl.basisOf(tf.flow, tf.service, median)}
+	if len(ra.pool) > 0 {
+		ra.preferred = pl.candidatesOf(tf.flow, tf.service)
+		ra.first = int(tf.flow.Hash() % uint64(len(ra.pool)))
 	}
 	return ra
 }
 
-// reviewRanking decides how the hosts of the service are ranked from now on: by
-// remaining work if at least half of the hosts that take new flows report it, and if
-// it predicts better than counts.
-func (pl *Placer) reviewRanking(now time.Time, service string) {
-	if !pl.rankings.enabled {
-		return
-	}
-	sr := pl.rankings.services[service]
-	if now.Before(sr.review) {
-		return
-	}
-	sr.review = now.Add(rankingReview)
-	var reporting []*agent
-	hosts, advantage := 0, 0.0
-	for _, ag := range pl.pools[service] {
-		if !ag.takesNewFlows() {
-			continue
-		}
-		hosts++
-		if ag.report.Work.Valid() {
-			reporting = append(reporting, ag)
-			advantage += ag.report.Work.Advantage
-		}
-	}
-	byWork := false
-	if len(reporting) > 0 {
-		sr.measure(reporting)
-		advantage /= float64(len(reporting))
-		least := minAdvantage
-		if sr.byWork {
-			least = keepAdvantage
-		}
-		byWork = 2*len(reporting) >= hosts && advantage >= least
-	}
-	if byWork != sr.byWork {
-		sr.byWork = byWork
-		pl.actions = append(pl.actions, Action{
-			Kind: KindRanking, Service: service, Sure: byWork, Advantage: advantage, Attempt: len(reporting),
-		})
-	}
-	pl.rankings.services[service] = sr
-}
-
-// measure sets the median cost and the mean load of the agents that report their work.
-func (sr *serviceRanking) measure(reporting []*agent) {
-	slices.SortFunc(reporting, func(a, b *agent) int {
-		return cmp.Compare(a.report.Work.MeanCost, b.report.Work.MeanCost)
-	})
-	sr.meanCost = reporting[(len(reporting)-1)/2].report.Work.MeanCost
-	sr.typical = 0
-	for _, ag := range reporting {
-		sr.typical += ag.reportedLoad(sr.meanCost) / float64(len(reporting))
+// hostAt evaluates the i-th host in the order of the flow.
+func (ra *ranking) hostAt(i int) evaluation {
+	ag := ra.pool[(ra.first+i)%len(ra.pool)]
+	ev := evaluation{agent: ag, skip: ra.skipReasonOf(ag)}
+	if ev.skip == skipNone {
+		ev.candidate = ra.preferred.contains(ag)
+		ev.cost = ra.costOf(ag, ev.candidate)
 	}
+	return ev
 }
 
-// noteRouteCost learns the cost of an opening of the flow's route from a confirmation.
-func (pl *Placer) noteRouteCost(flow Flow, fi workload.Figures) {
-	if !pl.rankings.enabled || !fi.Valid() || fi.RouteCost == 0 {
-		return
-	}
-	relative := float64(fi.RouteCost) / float64(fi.MeanCost)
-	if known, ok := pl.rankings.routes[flow.Service]; ok {
-		relative = known + routeCostShare*(relative-known)
+// skipReasonOf returns why the host isn't considered, skipNone if it is.
+func (ra *ranking) skipReasonOf(ag *agent) skipReason {
+	switch {
+	case ra.flow.hasTried(ag):
+		return skipTried
+	case ag.suspect:
+		return skipSuspected
+	case ag.evacuated:
+		return skipEvacuated
+	case !ag.report.State.TakesNewWork() && ag.report.State != register.StateDraining:
+		return skipState
+	default:
+		return skipNone
 	}
-	pl.rankings.routes[flow.Service] = relative
 }
 
-// reportedLoad returns the load that the agent's last report shows, in requests of the
-// mean cost: the slots that are taken and what goes before a new request. Without a
-// report of the work it is the number of requests in progress.
-func (ag *agent) reportedLoad(meanCost time.Duration) float64 {
-	re := &ag.report
-	if !re.Work.Valid() {
-		return float64(re.InProgress)
+// costOf returns the cost of the host for the opening.
+func (ra *ranking) costOf(ag *agent, candidate bool) float64 {
+	cost := ra.placer.cost(ra.now, ag, ra.basis) + ag.extraCost()
+	if !candidate {
+		cost += nonCandidateCost
 	}
-	return float64(min(re.InProgress, re.Slots)) + float64(re.Work.Remaining)/float64(meanCost)
+	return cost
 }
 
-// load returns the estimated load of the host in requests of the mean cost: the reported
-// one, which gives way with age to one between what open flows bring and the mean of
-// all hosts, and the openings sent since.
-func (ag *agent) load(now time.Time, ra ranking) float64 {
-	decay := math.Exp2(-float64(now.Sub(ag.reported)) / float64(loadHalfLife))
-	steady := ag.report.Expected + typicalShare*(ra.typical-ag.report.Expected)
-	return steady + (ag.reportedLoad(ra.meanCost)-steady)*decay + ag.sentLoad
-}
-
-// relativeCost returns the expected cost of the opening at the agent's host in units of
-// the mean cost. From retrySlow on a host that costs more than most is taken for one
-// like the others.
-func (ag *agent) relativeCost(now time.Time, ra ranking) float64 {
-	own := 1.0
-	if ag.report.Work.Valid() {
-		own = float64(ag.report.Work.MeanCost) / float64(ra.meanCost)
-	} else if ag.report.State == register.StateWarming {
-		own = warmingFactor
-	}
-	if own >= retryRatio && !now.Before(ag.retrySlow) {
-		own = 1
+// best returns the host with the lowest cost, nil if all are skipped. Of hosts of
+// equal cost it is the first in the order of the flow.
+func (ra *ranking) best() *agent {
+	var best *agent
+	least := math.Inf(1)
+	for i := range ra.pool {
+		if ev := ra.hostAt(i); ev.skip == skipNone && ev.cost < least {
+			best, least = ev.agent, ev.cost
+		}
 	}
-	return own * ra.relative
+	return best
 }
 
-// costByWork returns the cost of placing the opening at the agent's host in the units of
-// Placer.cost: 1 is the cost of a host with all slots taken by requests of the mean
-// cost.
-func (ag *agent) costByWork(now time.Time, ra ranking) float64 {
-	return (ag.load(now, ra) + ag.relativeCost(now, ra)) / float64(max(ag.report.Slots, 1))
-}
-
-// addSentLoad adds an opening that is sent to the agent to its estimated load. It
-// returns the load before, and whether hosts are ranked by remaining work.
-func (pl *Placer) addSentLoad(now time.Time, tf *trackedFlow, ag *agent) (load float64, byWork bool) {
-	if !pl.rankings.enabled {
-		return 0, false
-	}
-	ra := pl.rankingOf(now, tf.flow, tf.service)
-	if !ra.byWork() {
-		return 0, false
+// choose returns the agent with the lowest cost for a new flow among those that
+// were not tried, nil if none is left. Agents of draining hosts come last.
+func (pl *Placer) choose(now time.Time, tf *trackedFlow) *agent {
+	if len(pl.pools[tf.service]) == 0 {
+		return nil
 	}
-	load = ag.load(now, ra)
-	ag.sentLoad += ag.relativeCost(now, ra)
-	return load, true
+	ra := pl.rank(now, tf, pl.medianOf(now, tf.service))
+	return ra.best()
 }
--- a/internal/state/settings/carrier.go
+++ b/internal/state/settings/carrier.go
@@ -39,6 +39,9 @@
 	// in progress, PlacementRemainingWork by the work that each host still has to do,
 	// as far as it is known. Agents report that work only with the latter.
 	Placement string
+	// EvacuateWithin is the time after its acknowledgement within which the evacuation
+	// of a failure domain is to be in force. Zero turns evacuation off.
+	EvacuateWithin Duration `min:"0s" max:"1h"`
 }
 
 // The values of Carrier.Placement.
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -12,11 +12,13 @@
 	"k8s.io/klog/v2"
 
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/evacuation"
 	"corneltiller.dev/corneltiller/internal/coordination/members"
 	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 	"corneltiller.dev/corneltiller/internal/state/settings"
+	"corneltiller.dev/corneltiller/internal/transport/explain"
 	"corneltiller.dev/corneltiller/internal/transport/gauge"
 )
 
@@ -71,7 +73,8 @@
 	}
 	ba := &Balancer{node: no, config: co, callerConn: callerConn, placer: carriage.NewPlacer(no.started, carriage.PlacerSettings{
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
-		ByRemainingWork: co.Settings.ByRemainingWork(),
+		ByRemainingWork:  co.Settings.ByRemainingWork(),
+		AwaitEvacuations: no.evacuations != nil,
 	})}
 	no.onDeadline = func(now time.Time) { ba.performFlowActions(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
@@ -82,7 +85,11 @@
 	no.onMemberChanged = ba.setMember
 	no.onMemberRemoved = ba.removeMember
 	no.onRoutes = func(now time.Time, ro *catalog.Routes) { ba.performFlowActions(now, ba.placer.SetRoutes(now, ro)) }
+	no.onEvacuations = func(now time.Time, set evacuation.Set) {
+		ba.performFlowActions(now, ba.placer.SetEvacuations(now, set))
+	}
 	no.view.SetSelf(no.started, members.Record{State: register.StateReady})
+	co.Metrics.Handle(explain.Path, explain.Handler(ba.explain))
 	return ba, nil
 }
 
@@ -99,6 +106,9 @@
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
 			gr.Go(func() error { return ba.reviewEntries(work) })
+			if ba.evacuations != nil {
+				gr.Go(func() error { return ba.followEvacuations(work) })
+			}
 		},
 		drain: func(now time.Time) {
 			ba.draining = true
