feat(carriage): let the agent's queue use the expected costs of routes

While all slots are taken, ranking by remaining work gains nothing, and the agent's queue served a burst of one route first, as its openings are the newest. With Placement RemainingWork the queue now gives the routes that wait equal shares of the host's work and of its room, tells by each route's expected cost what can still be answered in time, and refuses at once what would wait longer than its caller. Without the setting it is as before.

Mass retry doesn't gain; its bound in TestLoads goes from 0.012 to 0.008, and the burst must be better by 0.02.

Tests of coordination, protocol, transport, state and cmd pass but for the known failing test of internal/coordination/change.

--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -158,6 +158,7 @@
 	}
 	if st.ReportsWork {
 		ga.work = workload.NewHost()
+		ga.queue.shares = newQueueShares(ga)
 	}
 	return ga
 }
--- a/internal/coordination/carriage/gate_bench_test.go
+++ b/internal/coordination/carriage/gate_bench_test.go
@@ -1,9 +1,12 @@
 package carriage
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
 // benchFlows is the number of open flows at a host in the benchmarks.
@@ -60,3 +63,32 @@
 		ga.Tick(began.Add(time.Second))
 	}
 }
+
+// BenchmarkQueue adds an opening to a queue that is almost full and takes one.
+func BenchmarkQueue(b *testing.B) {
+	for _, byWork := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byWork=%v", byWork), func(b *testing.B) {
+			qg := newQueueGate(byWork, 0)
+			qg.queue.openingTimeout = time.Hour
+			ro := catalog.Route{LatencyTarget: 200 * time.Millisecond}
+			add := func(i int) {
+				flow := benchFlow(i)
+				if i%2 == 0 {
+					flow.Service = dearAddress
+				}
+				fp := ForwardedPacket{Packet: Packet{Flow: flow, Opening: true}, Started: qg.now.Add(time.Duration(i%100) * time.Microsecond)}
+				if _, ok := qg.queue.add(qg.now, fp, nil, ro, 4); !ok {
+					b.Fatal("the opening was not queued")
+				}
+			}
+			for i := range maxQueued - 2 {
+				add(i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				add(i)
+				qg.queue.next(qg.now)
+			}
+		})
+	}
+}
--- a/internal/coordination/carriage/load_test.go
+++ b/internal/coordination/carriage/load_test.go
@@ -1,6 +1,7 @@
 package carriage
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,7 +23,7 @@
 	loadBalancers = 12
 	loadHosts     = 24
 	loadTime      = 10 * time.Second
-	// loadTarget is the strictest goal of callers.
+	// loadTarget is the strictest goal of callers, unless the load has another one.
 	loadTarget = 200 * time.Millisecond
 )
 
@@ -45,6 +46,8 @@
 	tries int
 	// setUp schedules faults; it may be nil.
 	setUp func(lr *loadRun)
+	// target is the callers' goal, zero for loadTarget.
+	target time.Duration
 	// compare compares the outcomes of both rankings.
 	compare func(counts, work outcome)
 }
@@ -138,7 +141,13 @@
 		name: "two routes", compare: isBetter, work: routeWork, rate: constant(busy(0.9, 19100*time.Microsecond)), dearShare: constant(0.3),
 	},
 	{
-		name: "burst of one route", compare: isHardlyWorse, work: routeWork, rate: between(4*time.Second, 5*time.Second, 2700, 1260),
+		// The mean of both routes says that many openings of low cost are late although
+		// they can still be answered in time.
+		name: "two routes, goal of 100 ms", compare: isBetter, target: 100 * time.Millisecond,
+		work: routeWork, rate: constant(busy(0.9, 19100*time.Microsecond)), dearShare: constant(0.3),
+	},
+	{
+		name: "burst of one route", compare: isMuchBetter, work: routeWork, rate: between(4*time.Second, 5*time.Second, 2700, 1260),
 		dearShare: between(4*time.Second, 5*time.Second, 0.65, 0.3),
 	},
 	{
@@ -238,9 +247,10 @@
 		load: lo, calls: make(map[Flow]call), draws: rand.New(rand.NewPCG(seed, 2)),
 		simulation: newRankedSimulation(seed, loadBalancers, loadHosts, byWork),
 	}
+	target := cmp.Or(lo.target, loadTarget)
 	services := lr.routes.Addresses[simAddress].Services
 	for _, address := range []netip.AddrPort{simAddress, dearAddress} {
-		lr.routes.Addresses[address] = catalog.Route{Services: services, LatencyTarget: loadTarget}
+		lr.routes.Addresses[address] = catalog.Route{Services: services, LatencyTarget: target}
 	}
 	lr.steer = func(flow Flow) int { return lr.calls[flow].balancer }
 	lr.drawWork = func(ho *simHost, flow Flow) time.Duration {
@@ -275,7 +285,7 @@
 		}
 	}
 	slices.Sort(lr.took)
-	in, _ := slices.BinarySearch(lr.took, loadTarget+1)
+	in, _ := slices.BinarySearch(lr.took, target+1)
 	return outcome{
 		inTime: float64(in) / float64(lr.callers-retries), p50: lr.took[len(lr.took)/2], p90: lr.took[len(lr.took)*9/10], p99: lr.took[len(lr.took)*99/100],
 		refused: lr.refused, crossed: lr.crossings,
@@ -311,9 +321,17 @@
 	So(work.crossed, ShouldBeLessThan, counts.crossed*105/100)
 }
 
-// isHardlyWorse compares the outcomes of an overload, in which no host has a free slot.
-// The ranking doesn't gain there; it sends fewer flows to other domains.
+// isMuchBetter compares the outcomes of a burst of one route, in which the agents' queues
+// serve the other route. The ranking alone doesn't gain there, as no host has a free slot.
+func isMuchBetter(counts, work outcome) {
+	isBetter(counts, work)
+	So(work.inTime, ShouldBeGreaterThan, counts.inTime+0.02)
+	So(work.refused, ShouldBeLessThan, counts.refused*3/4)
+}
+
+// isHardlyWorse compares the outcomes of an overload by one route, in which no host has a
+// free slot. There is nothing to gain; fewer flows are sent to other domains.
 func isHardlyWorse(counts, work outcome) {
-	So(work.inTime, ShouldBeGreaterThan, counts.inTime-0.012)
+	So(work.inTime, ShouldBeGreaterThan, counts.inTime-0.008)
 	So(work.crossed, ShouldBeLessThan, counts.crossed)
 }
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -60,9 +60,15 @@
 	}
 	// A copy of a queued opening is confirmed as well, or its balancer would send
 	// it to another host.
-	if !ga.queue.contains(fp.Flow) && !ga.queue.add(now, fp, data, route, ga.limit()) {
-		ga.decline(fp, data, ReasonFull)
-		return
+	if !ga.queue.contains(fp.Flow) {
+		evicted, ok := ga.queue.add(now, fp, data, route, ga.limit())
+		if !ok {
+			ga.decline(fp, data, ReasonFull)
+			return
+		}
+		for _, it := range evicted {
+			ga.decline(it.packet, it.data, ReasonFull)
+		}
 	}
 	ga.actions = append(ga.actions, Action{
 		Kind: KindConfirm, To: fp.From, Flow: fp.Flow, Reason: ReasonBusy, InProgress: float64(ga.InProgress()),
--- a/internal/coordination/carriage/parking.go
+++ b/internal/coordination/carriage/parking.go
@@ -38,7 +38,9 @@
 		pk.queues[tf.service] = qu
 	}
 	fp := ForwardedPacket{Packet: Packet{Flow: tf.flow, Opening: true, Copy: tf.copyNumber}, Started: tf.started()}
-	return qu.add(now, fp, nil, ro, maxQueued)
+	// The queue has no shares, so nothing is evicted from it.
+	_, added := qu.add(now, fp, nil, ro, maxQueued)
+	return added
 }
 
 // length returns the number of openings that wait.
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -25,6 +25,8 @@
 	target   time.Time
 	expires  time.Time
 	priority uint8
+	// share is that of the opening's route, nil in a queue without shares.
+	share *routeShare
 }
 
 // queue holds the openings that wait while the load exceeds what a host can
@@ -32,11 +34,15 @@
 // answered within their latency target come first, ordered by priority with the
 // lowest value first, then the late ones, ordered likewise. Within one priority
 // the newest comes first, as its caller has the most time left. In order of arrival
-// every caller would wait until it is late or has given up.
+// every caller would wait until it is late or has given up. With shares, a route goes
+// before others that got more of the host's work, and what can be answered in time is told
+// by the expected cost of each route.
 type queue struct {
 	items          []queued
 	service        serviceTime
 	openingTimeout time.Duration
+	// shares are those of the routes, nil while the host's work isn't followed.
+	shares *queueShares
 }
 
 // newQueue returns an empty queue for callers who give up an opening after the
@@ -47,8 +53,9 @@
 
 // add adds an opening. It reports false if the queue is full, or if the caller is
 // estimated to give up while the opening waits behind those that go before it,
-// with limit requests in progress at once.
-func (qu *queue) add(now time.Time, fp ForwardedPacket, data []byte, ro catalog.Route, limit int) bool {
+// with limit requests in progress at once. The openings that it returns have made room
+// for this one.
+func (qu *queue) add(now time.Time, fp ForwardedPacket, data []byte, ro catalog.Route, limit int) (evicted []queued, ok bool) {
 	it := queued{
 		packet: fp, data: append([]byte(nil), data...),
 		expires: fp.Started.Add(qu.openingTimeout - callerRoundTrip), priority: ro.Priority,
@@ -56,12 +63,30 @@
 	if ro.LatencyTarget > 0 {
 		it.target = fp.Started.Add(ro.LatencyTarget)
 	}
-	wait := qu.service.value() * time.Duration(qu.ahead(now, &it)+1) / time.Duration(limit)
-	if len(qu.items) >= maxQueued || now.Add(wait).After(it.expires) {
-		return false
+	if qu.shares != nil {
+		qu.shares.update(now)
+		it.share = qu.shares.of(fp.Flow.Service)
+	}
+	if now.Add(qu.wait(now, &it, limit)).After(it.expires) {
+		return nil, false
+	}
+	if evicted, ok = qu.makeRoom(now, &it); !ok {
+		return nil, false
+	}
+	if qu.shares != nil {
+		qu.shares.enter(&it)
 	}
 	qu.items = append(qu.items, it)
-	return true
+	return evicted, true
+}
+
+// wait returns the estimated time until the opening, which isn't in the queue yet, is
+// answered, with limit requests in progress at once.
+func (qu *queue) wait(now time.Time, it *queued, limit int) time.Duration {
+	if qu.shares != nil {
+		return qu.expectedTime(now, it)
+	}
+	return qu.service.value() * time.Duration(qu.ahead(now, it)+1) / time.Duration(limit)
 }
 
 // ahead returns the number of openings in the queue that go before the given one.
@@ -94,17 +119,32 @@
 // canMeetTarget reports whether the opening can still be answered by its target if
 // it is delivered now. An opening without a target always can.
 func (qu *queue) canMeetTarget(now time.Time, it *queued) bool {
-	return it.target.IsZero() || !now.Add(qu.service.value()+callerRoundTrip).After(it.target)
+	took := qu.service.value()
+	if qu.shares != nil {
+		took = qu.shares.wait + it.share.cost
+	}
+	return it.target.IsZero() || !now.Add(took+callerRoundTrip).After(it.target)
+}
+
+// compareClass compares openings by whether they can still be answered in time, then by
+// priority. It is negative if a goes before b.
+func (qu *queue) compareClass(now time.Time, a, b *queued) int {
+	if timely := qu.canMeetTarget(now, a); timely != qu.canMeetTarget(now, b) {
+		if timely {
+			return -1
+		}
+		return 1
+	}
+	return int(a.priority) - int(b.priority)
 }
 
 // before reports whether the opening a goes before b.
 func (qu *queue) before(now time.Time, a, b *queued) bool {
-	timely := qu.canMeetTarget(now, a)
-	if timely != qu.canMeetTarget(now, b) {
-		return timely
+	if order := qu.compareClass(now, a, b); order != 0 {
+		return order < 0
 	}
-	if a.priority != b.priority {
-		return a.priority < b.priority
+	if qu.shares != nil && a.share.work != b.share.work {
+		return a.share.work < b.share.work
 	}
 	return a.packet.Started.After(b.packet.Started)
 }
@@ -114,15 +154,29 @@
 	if len(qu.items) == 0 {
 		return queued{}, false
 	}
+	if qu.shares != nil {
+		qu.shares.update(now)
+	}
 	best := 0
 	for i := range qu.items {
 		if qu.before(now, &qu.items[i], &qu.items[best]) {
 			best = i
 		}
 	}
-	it := qu.items[best]
-	qu.items = append(qu.items[:best], qu.items[best+1:]...)
-	return it, true
+	if qu.shares != nil {
+		qu.shares.serve(&qu.items[best])
+	}
+	return qu.take(best), true
+}
+
+// take removes and returns the i-th opening.
+func (qu *queue) take(i int) queued {
+	it := qu.items[i]
+	qu.items = append(qu.items[:i], qu.items[i+1:]...)
+	if qu.shares != nil {
+		qu.shares.leave(&it)
+	}
+	return it
 }
 
 // expired removes and returns the openings whose callers are about to give up.
@@ -141,6 +195,9 @@
 	for i := range qu.items {
 		if leaves(&qu.items[i]) {
 			gone = append(gone, qu.items[i])
+			if qu.shares != nil {
+				qu.shares.leave(&qu.items[i])
+			}
 		} else {
 			kept = append(kept, qu.items[i])
 		}
--- a/internal/coordination/carriage/work.go
+++ b/internal/coordination/carriage/work.go
@@ -60,3 +60,14 @@
 	}
 	return re
 }
+
+// expectedCost implements hostWork.
+func (ga *Gate) expectedCost(now time.Time, route netip.AddrPort) time.Duration {
+	return ga.work.Cost(now, openingKey(route))
+}
+
+// expectedWait implements hostWork.
+func (ga *Gate) expectedWait(now time.Time) time.Duration { return ga.work.Wait(now) }
+
+// slots implements hostWork.
+func (ga *Gate) slots() int { return int(max(ga.host.Slots, 1)) }
--- a/internal/coordination/workload/host.go
+++ b/internal/coordination/workload/host.go
@@ -131,13 +131,13 @@
 		return Figures{}
 	}
 	mean := max(ho.model.ServiceMean(now), 1)
-	remaining := ho.wait(now)*time.Duration(ho.slots) + time.Duration(queued)*mean + time.Duration(openFlows*float64(handshakeLead))
+	remaining := ho.Wait(now)*time.Duration(ho.slots) + time.Duration(queued)*mean + time.Duration(openFlows*float64(handshakeLead))
 	return Figures{Remaining: min(remaining, maxDuration), MeanCost: min(mean, maxDuration), Advantage: ho.advantage(now)}
 }
 
-// wait returns the expected time until a slot is free for a further request. The sum of
+// Wait returns the expected time until a slot is free for a further request. The sum of
 // the rests would not tell it: a long request leaves the other slots free.
-func (ho *Host) wait(now time.Time) time.Duration {
+func (ho *Host) Wait(now time.Time) time.Duration {
 	if len(ho.inProgress) < ho.slots {
 		return 0
 	}
