--- a/internal/coordination/carriage/gate_bench_test.go
+++ b/internal/coordination/carriage/gate_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -92,3 +93,47 @@
 		})
 	}
 }
+
+// BenchmarkFlowMemory measures the heap of an agent with 4,000 open flows, each of which
+// has had a request. Its time is that of the openings and requests.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 4000
+	for _, byWork := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byWork=%v", byWork), func(b *testing.B) {
+			var heap uint64
+			for b.Loop() {
+				before := heapInUse()
+				ga := newOpenGate(flows, byWork)
+				heap += heapInUse() - before
+				runtime.KeepAlive(ga)
+			}
+			b.ReportMetric(float64(heap)/float64(b.N)/flows, "B/flow")
+		})
+	}
+}
+
+// heapInUse returns the bytes of the heap that are reachable.
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
+
+// newOpenGate returns an agent with open flows that have had a request each.
+func newOpenGate(flows int, byWork bool) *Gate {
+	ga := NewGate(began, GateSettings{
+		Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute,
+		OpeningTimeout: simOpeningTimeout, FirstStart: true, ReportsWork: byWork,
+	})
+	ga.CheckIn(began, CheckIn{Name: "h", StartedAt: began, Sequence: 1, Service: simService, Address: simHostAddress, Slots: 8})
+	for i := range flows {
+		flow := benchFlow(i)
+		forward(ga, Packet{Flow: flow, Opening: true, Sequence: 1})
+		ga.HandleHostPacket(began, Packet{Flow: flow, Accepting: true, Sequence: 1}, nil)
+		forward(ga, Packet{Flow: flow, Sequence: 2, Length: 100, Acknowledged: 2})
+		ga.HandleHostPacket(began.Add(5*time.Millisecond), Packet{Flow: flow, Sequence: 2, Length: 600}, nil)
+	}
+	return ga
+}
