--- a/internal/coordination/carriage/explain.go
+++ b/internal/coordination/carriage/explain.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"corneltiller.dev/corneltiller/internal/coordination/workload"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -64,6 +65,13 @@
 	// Slowness is the factor by which the service time raises the cost, 1 if it
 	// doesn't. It is set for hosts of the flow's service.
 	Slowness float64
+	// Work is the remaining work and the mean cost that the agent reported, the zero
+	// value if its last report has none. Load is the estimated load in requests of the
+	// service's mean cost, RelativeCost the expected cost of the opening at this host in
+	// the same unit. Both are set for hosts of a service that is ranked by remaining work.
+	Work         workload.Figures
+	Load         float64
+	RelativeCost float64
 	// Ranked says that the host isn't skipped. Candidate and Cost are set only then.
 	Ranked    bool
 	Candidate bool
@@ -85,6 +93,10 @@
 	Service  string
 	// Median is the median service time of the service's hosts, zero if unknown.
 	Median time.Duration
+	// ByWork says that the service's hosts are ranked by remaining work. MeanCost is then
+	// the median of their mean costs, the unit of the loads.
+	ByWork   bool
+	MeanCost time.Duration
 	// Kind is what becomes of the opening: KindForward to the agent Choice with Mode,
 	// KindPark while a host may become available, KindReset with Reason, or KindDrop
 	// with Reason if it can't wait for the routes.
@@ -119,7 +131,8 @@
 	ex.Service = service
 	tf.service = service
 	ra := pl.rank(now, tf, pl.currentMedian(now, service))
-	ex.Median = ra.median
+	ex.Median = ra.basis.median
+	ex.ByWork, ex.MeanCost = ra.basis.byWork(), ra.basis.meanCost
 	best := pl.explainOutcome(now, &ex, &ra)
 	ex.Hosts = ra.explainHosts(best)
 	pl.explainOtherHosts(now, &ex)
@@ -190,7 +203,7 @@
 	for i := range ra.pool {
 		ev := ra.hostAt(i)
 		ho := ev.agent.explain(ra.now)
-		ho.Slowness = ev.agent.slowness(ra.now, ra.median)
+		ho.setInputs(ev.agent, ra)
 		ho.Ranked, ho.Candidate, ho.Cost = ev.skip == skipNone, ev.candidate, ev.cost
 		ho.Reason = skipReasonNames[ev.skip]
 		if ev.agent == best {
@@ -212,6 +225,16 @@
 	return list
 }
 
+// setInputs sets the inputs of the cost that depend on what the hosts are ranked by.
+func (ho *HostExplanation) setInputs(ag *agent, ra *ranking) {
+	if !ra.basis.byWork() {
+		ho.Slowness = ag.slowness(ra.now, ra.basis.median)
+		return
+	}
+	ho.Slowness = 1
+	ho.Load, ho.RelativeCost = ag.load(ra.now, ra.basis), ag.relativeCost(ra.now, ra.basis)
+}
+
 // passedOver returns why a host that isn't skipped doesn't get the opening, given the
 // cost of the host that does.
 func (ho *HostExplanation) passedOver(least float64) HostReason {
@@ -284,5 +307,14 @@
 	return HostExplanation{
 		Address: ag.address, Service: ag.service, Domain: ag.domain, State: ag.report.State,
 		Reported: ag.reported, InProgress: ag.estimate(now), Slots: ag.report.Slots, ServiceTime: ag.report.ServiceTime,
+		Work: ag.report.validWork(),
+	}
+}
+
+// validWork returns the reported work, the zero value if it is missing or absurd.
+func (re *Report) validWork() workload.Figures {
+	if !re.Work.Valid() {
+		return workload.Figures{}
 	}
+	return re.Work
 }
--- a/internal/coordination/carriage/gate_bench_test.go
+++ b/internal/coordination/carriage/gate_bench_test.go
@@ -1,9 +1,13 @@
 package carriage
 
 import (
+	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
 // benchFlows is the number of open flows at a host in the benchmarks.
@@ -60,3 +64,76 @@
 		ga.Tick(began.Add(time.Second))
 	}
 }
+
+// BenchmarkQueue adds an opening to a queue that is almost full and takes one.
+func BenchmarkQueue(b *testing.B) {
+	for _, byWork := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byWork=%v", byWork), func(b *testing.B) {
+			qg := newQueueGate(byWork, 0)
+			qg.queue.openingTimeout = time.Hour
+			ro := catalog.Route{LatencyTarget: 200 * time.Millisecond}
+			add := func(i int) {
+				flow := benchFlow(i)
+				if i%2 == 0 {
+					flow.Service = dearAddress
+				}
+				fp := ForwardedPacket{Packet: Packet{Flow: flow, Opening: true}, Started: qg.now.Add(time.Duration(i%100) * time.Microsecond)}
+				if _, ok := qg.queue.add(qg.now, fp, nil, ro, 4); !ok {
+					b.Fatal("the opening was not queued")
+				}
+			}
+			for i := range maxQueued - 2 {
+				add(i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				add(i)
+				qg.queue.next(qg.now)
+			}
+		})
+	}
+}
+
+// BenchmarkFlowMemory measures the heap of an agent with 4,000 open flows, each of which
+// has had a request. Its time is that of the openings and requests.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 4000
+	for _, byWork := range []bool{false, true} {
+		b.Run(fmt.Sprintf("byWork=%v", byWork), func(b *testing.B) {
+			var heap uint64
+			for b.Loop() {
+				before := heapInUse()
+				ga := newOpenGate(flows, byWork)
+				heap += heapInUse() - before
+				runtime.KeepAlive(ga)
+			}
+			b.ReportMetric(float64(heap)/float64(b.N)/flows, "B/flow")
+		})
+	}
+}
+
+// heapInUse returns the bytes of the heap that are reachable.
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
+
+// newOpenGate returns an agent with open flows that have had a request each.
+func newOpenGate(flows int, byWork bool) *Gate {
+	ga := NewGate(began, GateSettings{
+		Service: simService, HostAddress: simHostAddress, HeartbeatInterval: simHeartbeat, FlowLifetime: time.Minute,
+		OpeningTimeout: simOpeningTimeout, FirstStart: true, ReportsWork: byWork,
+	})
+	ga.CheckIn(began, CheckIn{Name: "h", StartedAt: began, Sequence: 1, Service: simService, Address: simHostAddress, Slots: 8})
+	for i := range flows {
+		flow := benchFlow(i)
+		forward(ga, Packet{Flow: flow, Opening: true, Sequence: 1})
+		ga.HandleHostPacket(began, Packet{Flow: flow, Accepting: true, Sequence: 1}, nil)
+		forward(ga, Packet{Flow: flow, Sequence: 2, Length: 100, Acknowledged: 2})
+		ga.HandleHostPacket(began.Add(5*time.Millisecond), Packet{Flow: flow, Sequence: 2, Length: 600}, nil)
+	}
+	return ga
+}
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -55,6 +55,7 @@
 	hf.exchange.caller.start(fp.Sequence)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.setWorking(now, hf, true)
+	ga.expectWork(hf)
 	return hf
 }
 
@@ -72,13 +73,26 @@
 func (ga *Gate) enqueue(now time.Time, fp ForwardedPacket, data []byte) {
 	// A copy of a queued opening is confirmed as well, or its balancer would send
 	// it to another host.
-	if !ga.queue.contains(fp.Flow) && !ga.queue.add(now, fp, data, ga.routeOf(fp), ga.limit()) {
+	if !ga.queue.contains(fp.Flow) && !ga.addToQueue(now, fp, data) {
 		ga.decline(fp, data, ReasonFull)
 		return
 	}
 	ga.confirmQueued(fp)
 }
 
+// addToQueue adds an opening to the queue, and declines those that have made room for
+// it. One of which the host had got a copy isn't declined, as the host may have accepted
+// it. It reports false if the queue doesn't take the opening.
+func (ga *Gate) addToQueue(now time.Time, fp ForwardedPacket, data []byte) bool {
+	evicted, ok := ga.queue.add(now, fp, data, ga.routeOf(fp), ga.limit())
+	for _, it := range evicted {
+		if !it.known {
+			ga.decline(it.packet, it.data, ReasonFull)
+		}
+	}
+	return ok
+}
+
 // confirmQueued confirms an opening that waits to its balancer.
 func (ga *Gate) confirmQueued(fp ForwardedPacket) {
 	ga.actions = append(ga.actions, Action{
--- a/internal/coordination/carriage/ranking.go
+++ b/internal/coordination/carriage/ranking.go
@@ -46,10 +46,9 @@
 	now    time.Time
 	flow   *trackedFlow
 	pool   pool
-	// preferred are the flow's candidates; median is the median service time of the
-	// hosts, zero if unknown.
+	// preferred are the flow's candidates; basis is what the hosts are ranked by.
 	preferred candidates
-	median    time.Duration
+	basis     basis
 	// first is the position in the pool of the host that is evaluated first. It
 	// depends on the flow, so that hosts of equal cost get equal shares.
 	first int
@@ -61,7 +60,7 @@
 // rank returns the ranking of the hosts of the flow's service, given their median
 // service time.
 func (pl *Placer) rank(now time.Time, tf *trackedFlow, median time.Duration) ranking {
-	ra := ranking{placer: pl, now: now, flow: tf, pool: pl.pools[tf.service], median: median}
+	ra := ranking{placer: pl, now: now, flow: tf, pool: pl.pools[tf.service], basis: pl.basisOf(tf.flow, tf.service, median)}
 	if len(ra.pool) > 0 {
 		ra.preferred = pl.candidatesOf(tf.flow, tf.service)
 		ra.first = int(tf.flow.Hash() % uint64(len(ra.pool)))
@@ -114,7 +113,7 @@
 
 // costOf returns the cost of the host for the opening.
 func (ra *ranking) costOf(ag *agent, candidate bool) float64 {
-	cost := ra.placer.cost(ra.now, ag, ra.median) + ag.extraCost()
+	cost := ra.placer.cost(ra.now, ag, ra.basis) + ag.extraCost()
 	if !candidate {
 		cost += nonCandidateCost
 	}
--- a/internal/coordination/carriage/warmup.go
+++ b/internal/coordination/carriage/warmup.go
@@ -75,7 +75,7 @@
 	if fp.Mode == DeliverIfFree {
 		latest = fp.Started.Add(ro.LatencyTarget - callerRoundTrip)
 	}
-	if at.Add(ga.queue.service.value()).After(latest) || !ga.queue.add(now, fp, data, ro, ga.limit()) {
+	if at.Add(ga.queue.service.value()).After(latest) || !ga.addToQueue(now, fp, data) {
 		return false
 	}
 	ga.queue.items[len(ga.queue.items)-1].known = known
--- a/internal/protocol/explanation/answer.go
+++ b/internal/protocol/explanation/answer.go
@@ -32,6 +32,17 @@
 	OutcomeDropped Outcome = "Dropped"
 )
 
+// RankedBy is what hosts are ranked by.
+type RankedBy string
+
+// The values of RankedBy, which are those of the setting Placement.
+const (
+	// RankedByCounts is the ranking by requests in progress.
+	RankedByCounts RankedBy = "Counts"
+	// RankedByWork is the ranking by remaining work.
+	RankedByWork RankedBy = "RemainingWork"
+)
+
 // ProblemKind is the kind of a Problem.
 type ProblemKind string
 
@@ -82,6 +93,15 @@
 	ServiceTimeMilliseconds *float64 `json:",omitempty"`
 	// Slowness is the factor by which the service time raises the cost.
 	Slowness *float64 `json:",omitempty"`
+	// RemainingMilliseconds and MeanCostMilliseconds are the remaining work and the mean
+	// cost of a request that the host's agent reported. EstimatedLoad is the load by which
+	// the host is ranked and RelativeCost the expected cost of the flow's first request at
+	// this host, both in requests of the answer's MeanCostMilliseconds. They are missing
+	// if the hosts are ranked by counts.
+	RemainingMilliseconds *float64 `json:",omitempty"`
+	MeanCostMilliseconds  *float64 `json:",omitempty"`
+	EstimatedLoad         *float64 `json:",omitempty"`
+	RelativeCost          *float64 `json:",omitempty"`
 	// Candidate and Cost are missing for hosts that are skipped.
 	Candidate *bool    `json:",omitempty"`
 	Cost      *float64 `json:",omitempty"`
@@ -123,7 +143,12 @@
 	Mode   string          `json:",omitempty"`
 	// MedianServiceTimeMilliseconds is the median of the service's hosts.
 	MedianServiceTimeMilliseconds *float64 `json:",omitempty"`
-	Chain                         *Chain   `json:",omitempty"`
+	// RankedBy is what the platform's balancer ranks the service's hosts by.
+	// MeanCostMilliseconds is the median of the hosts' mean costs, missing if they are
+	// ranked by counts.
+	RankedBy             RankedBy `json:",omitempty"`
+	MeanCostMilliseconds *float64 `json:",omitempty"`
+	Chain                *Chain   `json:",omitempty"`
 	// Hosts are the hosts, the chosen one first. OtherHosts is the number of hosts
 	// that are left out.
 	Hosts      []Host   `json:",omitempty"`
--- a/internal/protocol/explanation/explanation_test.go
+++ b/internal/protocol/explanation/explanation_test.go
@@ -15,6 +15,7 @@
 
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
 	"corneltiller.dev/corneltiller/internal/coordination/route"
+	"corneltiller.dev/corneltiller/internal/coordination/workload"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -121,6 +122,34 @@
 		So(an.Err(), ShouldBeNil)
 		goldens("placement", an)
 	})
+	Convey("With ranking by remaining work each host has its work, mean cost and load", t, func() {
+		pl := carriage.NewPlacer(began, carriage.PlacerSettings{Domain: "mitt-a", OpeningTimeout: time.Second, ByRemainingWork: true})
+		pl.SetOtherBalancers(3)
+		pl.SetRoutes(began, &catalog.Routes{Version: 7, Addresses: map[netip.AddrPort]catalog.Route{
+			address: {Services: catalog.WeightedServices{{Service: "yardline", Weight: 1}}},
+		}})
+		for i := range 5 {
+			ag := carriage.Agent{Address: hostAddress(i), Service: "yardline", Domain: "mitt-a", State: register.StateReady, Slots: 2}
+			if i == 4 {
+				ag.Service = "ledgerwash"
+			}
+			pl.SetAgent(began, ag)
+		}
+		for round := range 2 {
+			for i := range 4 {
+				re := carriage.Report{State: register.StateReady, InProgress: 2, Slots: 2, ServiceTime: 20 * time.Millisecond}
+				if i < 3 {
+					re.Work = workload.Figures{
+						Remaining: time.Duration(10+i*40) * time.Millisecond, MeanCost: time.Duration(20+10*i) * time.Millisecond, Advantage: 0.6,
+					}
+				}
+				pl.HandleReport(now.Add(time.Duration(round*200-210+i)*time.Millisecond), hostAddress(i), re)
+			}
+		}
+		an := OfPlacement(pl.Explain(now, carriage.Flow{Caller: caller, Service: address}))
+		So(an.RankedBy, ShouldEqual, RankedByWork)
+		goldens("remaining-work", an)
+	})
 	Convey("A host that didn't confirm is suspected, and one without an agent's report may appear", t, func() {
 		pl := carriage.NewPlacer(began, carriage.PlacerSettings{Domain: "mitt-a", OpeningTimeout: time.Second})
 		pl.SetOtherBalancers(3)
--- a/internal/protocol/explanation/placement.go
+++ b/internal/protocol/explanation/placement.go
@@ -26,6 +26,12 @@
 	}
 	an.Version = strconv.FormatUint(ex.Version, 10)
 	an.setServices(ex.Services)
+	switch {
+	case ex.ByWork:
+		an.RankedBy, an.MeanCostMilliseconds = RankedByWork, milliseconds(ex.MeanCost)
+	case ex.Service != "":
+		an.RankedBy = RankedByCounts
+	}
 	switch ex.Kind {
 	case carriage.KindForward:
 		an.Outcome, an.Choice, an.Mode = OutcomeSent, &ex.Choice, modeName(ex.Mode)
@@ -89,7 +95,7 @@
 		ho.ReportAgeMilliseconds = milliseconds(ex.At.Sub(from.Reported))
 	}
 	if from.Service == ex.Service {
-		ho.Slowness = finite(from.Slowness)
+		ho.setInputs(ex, from)
 	}
 	if from.Ranked {
 		ho.Candidate, ho.Cost = &from.Candidate, finite(from.Cost)
@@ -97,6 +103,18 @@
 	return ho
 }
 
+// setInputs sets the inputs of the cost that depend on what the hosts are ranked by.
+func (ho *Host) setInputs(ex *carriage.Explanation, from *carriage.HostExplanation) {
+	if !ex.ByWork {
+		ho.Slowness = finite(from.Slowness)
+		return
+	}
+	if from.Work.MeanCost > 0 {
+		ho.RemainingMilliseconds, ho.MeanCostMilliseconds = milliseconds(from.Work.Remaining), milliseconds(from.Work.MeanCost)
+	}
+	ho.EstimatedLoad, ho.RelativeCost = finite(from.Load), finite(from.RelativeCost)
+}
+
 // finite returns the value, nil if it is infinite or no number, which JSON can't hold.
 // The wire format of reports has no such values, but carriage.Report can hold them.
 func finite(value float64) *float64 {
--- a/internal/protocol/explanation/table.go
+++ b/internal/protocol/explanation/table.go
@@ -30,6 +30,10 @@
 	{"SLOTS", func(ho *Host) string { return value(ho.Slots, "%d") }},
 	{"SERVICE TIME", func(ho *Host) string { return value(ho.ServiceTimeMilliseconds, "%.0fms") }},
 	{"SLOWNESS", func(ho *Host) string { return value(ho.Slowness, "%.2f") }},
+	{"REMAINING", func(ho *Host) string { return value(ho.RemainingMilliseconds, "%.0fms") }},
+	{"MEAN COST", func(ho *Host) string { return value(ho.MeanCostMilliseconds, "%.0fms") }},
+	{"ESTIMATED LOAD", func(ho *Host) string { return value(ho.EstimatedLoad, "%.2f") }},
+	{"RELATIVE COST", func(ho *Host) string { return value(ho.RelativeCost, "%.2f") }},
 	{"CANDIDATE", func(ho *Host) string { return value(ho.Candidate, "%t") }},
 	{"COST", func(ho *Host) string { return value(ho.Cost, "%.3f") }},
 	{"REASON", func(ho *Host) string { return ho.Reason }},
@@ -65,6 +69,7 @@
 	line("Configuration", joinTexts(prefixed("version ", an.Version), value(an.ConfirmedMilliseconds, "confirmed %.0fms ago")))
 	line("Service", joinTexts(an.Service, an.ServiceReason))
 	line("Median service time", value(an.MedianServiceTimeMilliseconds, "%.0fms"))
+	line("Ranked by", joinTexts(string(an.RankedBy), value(an.MeanCostMilliseconds, "mean cost %.0fms")))
 	line("Chain", an.Chain.text())
 	line("Outcome", an.outcomeText())
 	_ = tw.Flush()
