fix(carriage): an opening whose copy was declined isn't delivered later

Cause: an agent declined a copy of an opening that waited in its queue, with NoRoute after a change of the route, and delivered the waiting copy later.

Change: the agent takes the opening out of its queue when it declines a copy.

--- a/internal/coordination/carriage/changedroute_test.go
+++ b/internal/coordination/carriage/changedroute_test.go
@@ -145,3 +145,27 @@
 		So(kinds(gw.fromCaller(Packet{Sequence: 1001, Length: 100, Acknowledged: 500001})), ShouldResemble, []Kind{KindDeliver})
 	})
 }
+
+// It guards against an opening that the host accepts after the agent has declined a copy of
+// it: the balancer refuses the opening then, and resets an open flow.
+func TestDeclinedCopyOfAWaitingOpening(t *testing.T) {
+	Convey("An opening that waits is not delivered once a copy of it was declined", t, func() {
+		gw := newGateAtWork()
+		open := func(port uint16, mode DeliveryMode) []Action {
+			flow := Flow{Caller: netip.AddrPortFrom(gw.flow.Caller.Addr(), port), Service: simAddress}
+			return gw.HandleForwarded(gw.now, ForwardedPacket{
+				Packet: Packet{Flow: flow, Opening: true, Sequence: 7}, ServiceHash: serviceHash(simService), Started: gw.now, Mode: mode, Version: 1,
+			}, nil)
+		}
+		for port := range uint16(flowsPerSlot * simSlots) {
+			open(1+port, DeliverOrQueue)
+		}
+		So(open(99, DeliverOrQueue)[0].Kind, ShouldEqual, KindConfirm)
+		gw.SetRoutes(routesTo(2, simOtherService, 1))
+		So(open(99, DeliverOrQueue)[0].Reason, ShouldEqual, ReasonNoRoute)
+		gw.now = gw.now.Add(handshakeTimeout)
+		for _, ac := range gw.Tick(gw.now) {
+			So(ac.Kind, ShouldNotEqual, KindDeliver)
+		}
+	})
+}
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -21,6 +21,9 @@
 	known := hf.isOpenedBy(fp)
 	if !known {
 		if re := ga.declineReason(now, fp); re != ReasonNone {
+			// An earlier copy that waits must not be delivered: the balancer may refuse the
+			// opening after this answer.
+			ga.queue.withdraw(fp.Flow)
 			ga.decline(fp, data, re)
 			return
 		}
--- a/internal/coordination/carriage/queue.go
+++ b/internal/coordination/carriage/queue.go
@@ -191,6 +191,13 @@
 	return qu.remove(func(*queued) bool { return true })
 }
 
+// withdraw removes the opening of the flow, if one waits.
+func (qu *queue) withdraw(flow Flow) {
+	if qu.contains(flow) {
+		qu.remove(func(it *queued) bool { return it.packet.Flow == flow })
+	}
+}
+
 func (qu *queue) remove(leaves func(it *queued) bool) []queued {
 	var gone []queued
 	kept := qu.items[:0]
