fix(carriage): the exclusion of an agent from a search lapses when it restarts

Cause: a host returned a packet and its agent restarted before it was asked again. The new process answers Possible, but the search still passed over its host, so the flow's packets were dropped until their caller gave up.

Change: an exclusion belongs to one process of the agent.

--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -97,7 +97,8 @@
 	// possible and unlikely are the agents whose hosts may hold the flow; excluded are
 	// those that declined its packets, declined those of them since the last question.
 	possible, unlikely []*agent
-	excluded, declined []*agent
+	excluded           []exclusion
+	declined           []*agent
 	// tentative is the number of hosts that the packet was sent to; trying is the
 	// agent of the last one. tried are the times of the last such packets of all searches
 	// for the flow, the oldest first.
@@ -132,7 +133,7 @@
 	is := func(other *agent) bool { return other == ag }
 	if se.round == roundConfirm && an != absence.Absent {
 		// It wasn't the host that declined the packet.
-		se.excluded = slices.DeleteFunc(se.excluded, is)
+		se.excluded = slices.DeleteFunc(se.excluded, func(ex exclusion) bool { return ex.agent == ag })
 	}
 	se.possible = slices.DeleteFunc(se.possible, is)
 	se.unlikely = slices.DeleteFunc(se.unlikely, is)
--- a/internal/coordination/carriage/tentative.go
+++ b/internal/coordination/carriage/tentative.go
@@ -32,13 +32,26 @@
 	maxUnlikely  = 64
 )
 
+// exclusion is an agent that declined a packet of a flow. It lapses when the agent
+// restarts: the new process doesn't know that its host returned the packet, and answers
+// Possible until the host has returned another one.
+type exclusion struct {
+	agent       *agent
+	incarnation uint64
+}
+
+// excludes reports whether the agent's present process has declined the flow's packets.
+func (se *search) excludes(ag *agent) bool {
+	return slices.Contains(se.excluded, exclusion{agent: ag, incarnation: ag.revision.Incarnation})
+}
+
 // exclude notes that the agent declined a packet of the flow.
 func (se *search) exclude(ag *agent) {
 	if ag == nil {
 		return
 	}
-	if !slices.Contains(se.excluded, ag) {
-		se.excluded = append(se.excluded, ag)
+	if !se.excludes(ag) {
+		se.excluded = append(se.excluded, exclusion{agent: ag, incarnation: ag.revision.Incarnation})
 	}
 	if !slices.Contains(se.declined, ag) {
 		se.declined = append(se.declined, ag)
@@ -103,7 +116,7 @@
 	}
 	list := pl.candidateAgents(tf.flow)
 	for _, ag := range list {
-		tried := slices.Contains(se.excluded, ag) || se.trying == ag.address
+		tried := se.excludes(ag) || se.trying == ag.address
 		if !tried && !ag.suspect && !slices.Contains(se.possible, ag) {
 			return false
 		}
@@ -116,7 +129,7 @@
 // the others have learned most flows that are in use at their hosts.
 func (pl *Placer) nextPossible(se *search, list *[]*agent) *agent {
 	*list = slices.DeleteFunc(*list, func(ag *agent) bool {
-		return pl.agents[ag.address] != ag || slices.Contains(se.excluded, ag)
+		return pl.agents[ag.address] != ag || se.excludes(ag)
 	})
 	if len(*list) == 0 {
 		return nil
