--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -145,7 +145,6 @@
 		return ga.actions, false
 	}
 	ga.gone = true
-	ga.goneByName = ga.known && !ga.presumed
 	ga.announceIfChanged(now)
 	return ga.actions, true
 }
--- a/internal/coordination/carriage/early.go
+++ b/internal/coordination/carriage/early.go
@@ -98,7 +98,7 @@
 			return true
 		case now.Before(ec.due):
 			return false
-		case ec.search != nil && pl.provedAbsent(now, tf):
+		case ec.search != nil && pl.isProvedAbsent(now, tf):
 			if reset {
 				return false
 			}
@@ -169,7 +169,7 @@
 		// The agent may become certain after its host's next check-in.
 		return
 	}
-	if ag == tf.agent || pl.provedAbsent(now, tf) {
+	if ag == tf.agent || pl.isProvedAbsent(now, tf) {
 		for _, ec := range pl.early.checks {
 			if ec.search == tf.search {
 				ec.due = now
--- a/internal/coordination/carriage/gate.go
+++ b/internal/coordination/carriage/gate.go
@@ -89,9 +89,7 @@
 	// gone says that a host has checked out, agentDraining that the agent shuts
 	// down. drainStart is when the host checked in as draining, zero if it did so
 	// before the agent started.
-	gone bool
-	// goneByName says that the host that checked out had checked in under the same name.
-	goneByName    bool
+	gone          bool
 	agentDraining bool
 	drainStart    time.Time
 	// evacuated says that the failure domain of the agent is evacuated.
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -117,10 +117,8 @@
 	switch {
 	case hf != nil && hf.isKnownHolder() && hf.isOf(qu.Acknowledged):
 		return absence.Held
-	case hf != nil && hf.hasReturned(qu.Acknowledged) || ga.Gone() && ga.goneByName:
+	case hf != nil && hf.hasReturned(qu.Acknowledged) || ga.Gone():
 		return absence.Absent
-	case ga.Gone():
-		return absence.Provisional
 	case hf != nil && hf.mayBecomeOf(qu.Acknowledged):
 		return absence.Possible
 	case !ga.mayHold(now) && hf != nil && hf.isKnownHolder():
--- a/internal/coordination/carriage/proof.go
+++ b/internal/coordination/carriage/proof.go
@@ -28,12 +28,12 @@
 // resetIfAbsent resets the caller if it is proved that no host holds the flow, and
 // forgets the flow.
 func (pl *Placer) resetIfAbsent(now time.Time, tf *trackedFlow) bool {
-	if !pl.provedAbsent(now, tf) {
+	agents, proved := pl.provedAbsent(now, tf)
+	if !proved {
 		return false
 	}
-	list := pl.mayHold(now, tf.flow)
 	pl.actions = append(pl.actions, Action{
-		Kind: KindReset, Flow: tf.flow, Reason: ReasonNotHeld, Acknowledged: tf.search.acknowledged, Agents: len(list),
+		Kind: KindReset, Flow: tf.flow, Reason: ReasonNotHeld, Acknowledged: tf.search.acknowledged, Agents: agents,
 	})
 	pl.forget(tf)
 	return true
@@ -41,20 +41,26 @@
 
 // provedAbsent reports whether it is proved that no host holds the flow. An agent whose
 // host has checked out need not answer. One that does, and doesn't say Absent, has a host
-// that has started since.
-func (pl *Placer) provedAbsent(now time.Time, tf *trackedFlow) bool {
-	list := pl.mayHold(now, tf.flow)
-	if !pl.viewComplete(now) || len(list) == 0 {
-		return false
+// that has started since. It returns the number of agents of which that was proved.
+func (pl *Placer) provedAbsent(now time.Time, tf *trackedFlow) (agents int, proved bool) {
+	if !pl.viewComplete(now) {
+		return 0, false
 	}
+	list := pl.mayHold(now, tf.flow)
 	for _, ag := range list {
 		// A check-out may have been another writer's, so that early checks ask the agent.
 		gone := ag.report.State == register.StateGone && !tf.search.early && !tf.search.answered.Has(ag.number)
 		if !tf.search.absent.Has(ag.number) && !gone {
-			return false
+			return 0, false
 		}
 	}
-	return true
+	return len(list), len(list) > 0
+}
+
+// isProvedAbsent is provedAbsent without the number.
+func (pl *Placer) isProvedAbsent(now time.Time, tf *trackedFlow) bool {
+	_, proved := pl.provedAbsent(now, tf)
+	return proved
 }
 
 // MembersListed notes that the balancer has itself read the members' entries from the
@@ -117,7 +123,7 @@
 		for _, pool := range pl.pools {
 			list = append(list, pool...)
 		}
-		slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+		sortByAddress(list)
 	} else {
 		// An agent that has just started doesn't know its host's service.
 		list = append(list, pl.pools[""]...)
@@ -149,6 +155,12 @@
 			list = append(list, pool...)
 		}
 	}
-	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+	sortByAddress(list)
 	return list
 }
+
+// sortByAddress sorts agents of several services, which are collected in the random order
+// of a map.
+func sortByAddress(list []*agent) {
+	slices.SortFunc(list, func(a, b *agent) int { return a.address.Compare(b.address) })
+}
--- a/internal/transport/carrier/backoff.go
+++ b/internal/transport/carrier/backoff.go
@@ -28,6 +28,15 @@
 	return sleepContext(ctx, pause/2+rand.N(pause/2)-time.Since(began))
 }
 
+// waitAfterFirst counts a failure like wait, and doesn't wait after the first one.
+func (bo *backoff) waitAfterFirst(ctx context.Context, began time.Time, maxPause time.Duration) {
+	if bo.failures > 0 {
+		bo.wait(ctx, began, maxPause)
+		return
+	}
+	bo.failures++
+}
+
 // sleepContext waits for the pause. It reports false if the context ended first.
 func sleepContext(ctx context.Context, pause time.Duration) bool {
 	ti := time.NewTimer(pause)
--- a/internal/transport/carrier/evacuations.go
+++ b/internal/transport/carrier/evacuations.go
@@ -46,11 +46,7 @@
 		case errors.Is(err, ErrRevisionExpired):
 			klog.InfoS("Revision expired in the store; reading the evacuations again", "position", ew.position, "reason", err)
 			ew.position = Position{}
-			if ew.expired.failures > 0 {
-				ew.expired.wait(ctx, began, maxBackoff)
-			} else {
-				ew.expired.failures++
-			}
+			ew.expired.waitAfterFirst(ctx, began, maxBackoff)
 		case err != nil:
 			no.metrics.Count("EvacuationReadsFailed", 1)
 			if ew.failed.failures == 0 {
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -60,11 +60,7 @@
 func (no *node) expirePosition(ctx context.Context, rw *routesWatch, began time.Time, reason error) {
 	klog.InfoS("Revision expired in the store; reading the configuration again", "position", rw.position, "reason", reason)
 	rw.position = Position{}
-	if rw.expired.failures > 0 {
-		rw.expired.wait(ctx, began, maxBackoff)
-		return
-	}
-	rw.expired.failures++
+	rw.expired.waitAfterFirst(ctx, began, maxBackoff)
 }
 
 // advancePosition takes over the position of an answer. If it belongs to another
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -161,7 +161,11 @@
 			klog.V(2).InfoS("Socket error", "err", err)
 			continue
 		}
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n], waitOf(time.Now(), control[:controlled]))
+		wait := time.Duration(0)
+		if controlled > 0 {
+			wait = waitOf(time.Now(), control[:controlled])
+		}
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n], wait)
 	}
 }
 
