test(review): show that flows of a withdrawn service are lost with all processes

Cause: the former services of an address are remembered by processes only. When all are killed right after a change, the agents of that service decline packets of its flows, and searches send them to all other hosts.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -66,6 +66,8 @@
 	answered              chan []byte
 	timer                 *time.Timer
 	retransmits           int
+	// sentAt are the times of the packets other than openings. It is guarded by mu.
+	sentAt []time.Time
 }
 
 // newFlow makes a flow from the port to the service's address.
@@ -108,7 +110,8 @@
 	}
 }
 
-// send sends a packet through the fabric. It returns the name of the balancer.
+// send sends a packet through the fabric. It is called with mu held, unless the packet is an
+// opening. It returns the name of the balancer.
 func (fl *clientFlow) send(pa packet) string {
 	pa.src, pa.dst = fl.key.client, fl.key.service
 	to, name := fl.to, fl.to.String()
@@ -119,6 +122,9 @@
 		}
 		to, name = no.packets, no.name
 	}
+	if pa.flags&flagSYN == 0 {
+		fl.sentAt = append(fl.sentAt, time.Now())
+	}
 	_, _ = fl.client.conn.WriteToUDPAddrPort(pa.encode(), to)
 	return name
 }
--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -144,6 +144,9 @@
 func (ho *host) handle(pa packet, datagram []byte) {
 	key := flowKey{client: pa.src, service: pa.dst}
 	fl, ok := ho.flows[key]
+	if pa.flags&flagSYN == 0 {
+		ho.system.arrivals.note(key, ok)
+	}
 	switch {
 	case pa.flags&flagSYN != 0:
 		ho.handleOpening(key, fl, pa)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -36,9 +36,10 @@
 
 // cases are the scenarios by name. Each returns how the rule was broken, "" if it held.
 var cases = map[string]func(sy *system) (string, error){
-	"mixed-pages":  mixedPages,
-	"late-opening": lateOpening,
-	"hangup":       hangup,
+	"mixed-pages":   mixedPages,
+	"late-opening":  lateOpening,
+	"hangup":        hangup,
+	"killed-change": killedChange,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -30,8 +30,10 @@
 // Bounds and settings of a small deployment.
 const (
 	heartbeat = 1200 * time.Millisecond
-	// grownConfigApply is config_apply_ms of the grown sites.
+	// grownConfigApply and grownStability are config_apply_ms and stability_ms of the grown
+	// sites.
 	grownConfigApply = 5 * time.Second
+	grownStability   = 5 * time.Second
 	stability        = 4 * time.Second
 	grace            = 6 * time.Second
 	flowTTL          = 60 * time.Second
@@ -48,6 +50,7 @@
 	net, ports int
 	store      *store
 	fabric     *fabric
+	arrivals   arrivals
 	mu         sync.Mutex
 	processes  []*process
 	hosts      []*host
