fix(carriage): searches send two packets of a flow at most to other hosts

Cause: once all agents had answered, each search sent its packet to eight hosts, and an agent that is suspected or silent counts as having answered. If that one was the flow's own, each copy of a packet went to eight more hosts. The promise counts packets: three at other hosts within 2 s, and none at its own, break the flow.

In return a packet goes to 64 hosts instead of eight.

Ruled out: that the limit delays resets of flows without host.

--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -289,7 +289,7 @@
 		case tf.phase == phaseSearching:
 			pl.handleSearchDecline(now, tf, from)
 		case (tf.phase == phaseLocated || tf.phase == phaseOpening) && tf.agent == ag:
-			tf.excludeAgent(ag)
+			tf.excludeAgent(now, ag)
 			pl.restartSearch(now, tf, pk, data)
 		}
 		return pl.actions
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -105,6 +105,10 @@
 	tentative int
 	trying    netip.AddrPort
 	tried     [maxEarlyTries]time.Time
+	// triedPackets are the times at which the last packets of the flow were sent to hosts,
+	// the oldest first. packetTried says that the packet that is searched for is among them.
+	triedPackets [maxTriedPackets]time.Time
+	packetTried  bool
 	// possibleUntil is until when the lists possible and unlikely are kept for the next
 	// search.
 	possibleUntil time.Time
@@ -178,6 +182,7 @@
 	if se := tf.search; former != nil && (former.asked == 0 || near(former.acknowledged, pk.Acknowledged)) {
 		se.absent, se.excluded, se.tried, se.asked = former.absent, former.excluded, former.tried, former.asked
 		se.declined = former.declined
+		se.triedPackets, se.packetTried = former.triedPackets, former.packetTried
 		if now.Before(former.possibleUntil) {
 			se.keepPossible(former)
 		}
@@ -215,7 +220,8 @@
 	tf.phase = phaseLost
 	tf.search = &search{
 		acknowledged: se.acknowledged, absent: se.absent, excluded: se.excluded, declined: se.declined,
-		answered: se.answered, tried: se.tried, asked: se.asked, turn: -1, resumes: now.Add(lostPause),
+		answered: se.answered, tried: se.tried, triedPackets: se.triedPackets, asked: se.asked, turn: -1,
+		resumes: now.Add(lostPause),
 	}
 	tf.search.keepPossible(se)
 	pl.drop(tf.flow, ReasonNotFound, false)
--- a/internal/coordination/carriage/tentative.go
+++ b/internal/coordination/carriage/tentative.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"corneltiller.dev/corneltiller/internal/state/register"
 )
 
 const (
@@ -25,11 +27,12 @@
 	// count as restarted at the same time.
 	sameRestart = 1000
 	// maxTentative is the number of hosts that a search sends the packet to after all
-	// agents have answered, as one of those then holds the flow. maxUnlikely is the
-	// number for hosts that are unlikely to hold it: after a loss of power these are up
-	// to half of all, and each returns the packet within a few milliseconds.
-	maxTentative = 8
-	maxUnlikely  = 64
+	// agents have answered, as one of those then holds the flow. Each of the others
+	// returns the packet within a few milliseconds.
+	maxTentative = 64
+	// maxTriedPackets is the number of a flow's packets that all searches for it send to
+	// hosts within tentativeInterval. Each packet may go to several hosts.
+	maxTriedPackets = 2
 )
 
 // exclusion is an agent that declined a packet of a flow. It lapses when the agent
@@ -64,18 +67,49 @@
 	se.tried[len(se.tried)-1] = now
 	se.tentative++
 	se.trying = ag.address
+	se.notePacketTried(now)
+}
+
+// notePacketTried notes that the packet that is searched for is sent to a host.
+func (se *search) notePacketTried(now time.Time) {
+	if !se.packetTried {
+		copy(se.triedPackets[:], se.triedPackets[1:])
+		se.packetTried = true
+	}
+	se.triedPackets[maxTriedPackets-1] = now
+}
+
+// mayTryPacket reports whether the packet that is searched for may be sent to a host: it
+// was already, or fewer than maxTriedPackets others were within tentativeInterval.
+func (se *search) mayTryPacket(now time.Time) bool {
+	return se.packetTried || now.Sub(se.triedPackets[0]) >= tentativeInterval
+}
+
+// reachesAll reports whether the packet can be sent to all hosts that may hold the flow, so
+// that it reaches the flow's own: the agents have answered, also those that seem silent.
+func (se *search) reachesAll(list []*agent) bool {
+	for _, ag := range list {
+		if !se.absent.Has(ag.number) && !se.answered.Has(ag.number) && ag.report.State != register.StateGone {
+			return false
+		}
+	}
+	return len(se.possible)+len(se.unlikely) <= maxTentative-se.tentative
 }
 
 // tryNext sends the packet to the next host that possibly holds the flow. It reports
 // false if there is none.
 func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
-	var ag *agent
-	complete := se.round == roundTryAll && pl.haveAnswered(now, se, pl.mayHold(now, tf.flow))
-	if pl.mayTry(now, tf, complete) {
-		ag = pl.nextPossible(se, &se.possible)
+	list := pl.mayHold(now, tf.flow)
+	complete := se.round == roundTryAll && pl.haveAnswered(now, se, list)
+	if !se.mayTryPacket(now) && (!complete || !se.reachesAll(list)) {
+		return false
+	}
+	if !pl.mayTry(now, tf, complete) {
+		return false
 	}
-	if ag == nil && len(se.possible) == 0 && complete && se.tentative < maxUnlikely {
+	ag := pl.nextPossible(se, &se.possible)
+	if ag == nil && complete {
 		ag = pl.nextPossible(se, &se.unlikely)
 	}
 	if ag == nil {
--- a/internal/coordination/carriage/tentative_test.go
+++ b/internal/coordination/carriage/tentative_test.go
@@ -105,3 +105,32 @@
 		So(ob.former, ShouldBeFalse)
 	})
 }
+
+// Searches that missed the holder's answer sent three packets of an open flow to other hosts
+// within two seconds.
+func TestPacketsSentToHostsThatMayHoldTheFlow(t *testing.T) {
+	Convey("Searches send two packets of a flow at most within tentativeInterval to hosts that may hold it", t, func() {
+		services := make([]string, 200)
+		for i := range services {
+			services[i] = simService
+		}
+		pl, list := setUpPlacer(services...)
+		answers := make(map[netip.AddrPort]absence.Answer)
+		var tried []time.Duration
+		for _, after := range []time.Duration{0, 200, 600, 1400, 3000} {
+			for _, address := range list {
+				if _, known := answers[address]; !known {
+					answers[address] = absence.Possible
+				}
+			}
+			after *= time.Millisecond
+			for _, ac := range searchResult(pl, began.Add(viewSettled+after), answers) {
+				if ac.Kind == KindForward {
+					tried = append(tried, after)
+					break
+				}
+			}
+		}
+		So(tried, ShouldResemble, []time.Duration{0, 200 * time.Millisecond, 3 * time.Second})
+	})
+}
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -144,10 +144,11 @@
 }
 
 // excludeAgent notes, for the search that begins next, that the agent has declined a
-// packet of the flow.
-func (tf *trackedFlow) excludeAgent(ag *agent) {
+// packet of the flow. Its host may have got the packet.
+func (tf *trackedFlow) excludeAgent(now time.Time, ag *agent) {
 	if tf.search == nil {
 		tf.search = &search{turn: -1}
 	}
 	tf.search.exclude(ag)
+	tf.search.notePacketTried(now)
 }
