fix(carriage): flows of a service that nobody remembers are found

Cause: an agent took the routes in force as a proof that its host can't hold a flow of an address of other services. It answered Unknown and declined such packets. After all processes had ended nobody knew the former service, so no search could end at its hosts.

Change: an agent that isn't certain answers Unlikely and delivers the packet; its host decides. Such hosts come after all others.

The simulation counts packets besides copies (misrouted); the count of copies is unchanged.

Ruled out: that the balancers don't ask agents of other services; they did.

--- a/internal/coordination/carriage/endpoints_test.go
+++ b/internal/coordination/carriage/endpoints_test.go
@@ -206,6 +206,7 @@
 
 // fromCaller sends a caller's packet to a balancer, as the fabric does.
 func (si *simulation) fromCaller(pk Packet) {
+	si.callers[pk.Flow].packets++
 	if len(si.rotation) == 0 {
 		return
 	}
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -11,12 +11,11 @@
 // packet is delivered if the host may hold the flow: after a restart of the agent
 // a balancer still sends the flows here that an earlier process confirmed to it.
 func (ga *Gate) handleUnknownFlow(now time.Time, fp ForwardedPacket, data []byte) {
-	located := fp.Mode == DeliverOrQueue
-	if !ga.mayHold(now) || !located && ga.servedElsewhere(fp.Flow) {
+	if !ga.mayHold(now) {
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	}
-	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: located}
+	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue}
 	hf.exchange.host.start(fp.Acknowledged)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.trackRequest(now, fp.Packet, hf)
@@ -127,10 +126,8 @@
 		return absence.Provisional
 	case !ga.mayHold(now):
 		return absence.Absent
-	case ga.servedElsewhere(qu.Flow):
+	case ga.servedElsewhere(qu.Flow) || !ga.hostOlder:
 		// The routes are no proof: the address may have had the host's service before.
-		return absence.Unknown
-	case !ga.hostOlder:
 		return absence.Unlikely
 	default:
 		return absence.Possible
--- a/internal/coordination/carriage/simulation_test.go
+++ b/internal/coordination/carriage/simulation_test.go
@@ -229,6 +229,8 @@
 	sent, number uint32
 	// waiting says that a request isn't answered yet.
 	waiting, done bool
+	// packets is the number of packets that the caller has sent.
+	packets int
 	// keepsUntil is when the caller sends its last request on the flow at the
 	// latest, zero for a caller with one request. Between two requests it pauses.
 	keepsUntil time.Time
