fix(carriage): a late copy of an opening changes nothing about a flow in use

Cause: the agent took each SYN+ACK of its host for the beginning of the flow and set the host's stream back. Packets that were more than 131,072 bytes further on then seemed to belong to another flow between the same addresses, whose absence such an agent proves.

Change: a copy of the opening of a flow in use isn't delivered, and its balancer is told where the flow is. An acceptance or a returned opening changes nothing about a flow in use. A restarted agent tells copies by the caller's numbers, and delivers packets that don't fit an acceptance if its host may hold older flows. A balancer drops openings that have waited for longer than their callers do.

Ruled out: that the balancer's handling alone resets the flow; the gate played without a balancer says Reused after the copy.

--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -17,6 +17,7 @@
 	}
 	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue}
 	hf.exchange.host.start(fp.Acknowledged)
+	hf.exchange.caller.start(fp.Sequence)
 	ga.flows.put(now, fp.Flow, hf)
 	ga.trackRequest(now, fp.Packet, hf)
 	ga.deliver(fp.Flow, data, false)
@@ -36,7 +37,7 @@
 		return
 	case stageAccepted:
 		if !fp.Resets && !hf.isOf(fp.Acknowledged) {
-			ga.decline(fp, data, ReasonNotHeld)
+			ga.handleOtherFlow(now, fp, data, hf)
 			return
 		}
 		hf.stage = stageOpen
@@ -62,7 +63,7 @@
 // addresses. The host doesn't hold it beside a flow that it has accepted from this
 // agent process; otherwise it may.
 func (ga *Gate) handleOtherFlow(now time.Time, fp ForwardedPacket, data []byte, hf *hostFlow) {
-	if hf.stage == stageOpen {
+	if hf.stage == stageOpen || !ga.mayHold(now) {
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	}
--- a/internal/coordination/carriage/host.go
+++ b/internal/coordination/carriage/host.go
@@ -1,6 +1,9 @@
 package carriage
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // HandleHostPacket handles a packet from the host.
 func (ga *Gate) HandleHostPacket(now time.Time, pk Packet, data []byte) []Action {
@@ -46,10 +49,15 @@
 // handleReturned handles a caller's packet that the host returned.
 func (ga *Gate) handleReturned(now time.Time, pk Packet, data []byte) {
 	hf := ga.flows.peek(pk.Flow)
-	if hf == nil {
+	if hf == nil || pk.Opening && hf.stage == stageOpen {
+		// A late copy of the opening of a flow in use tells nothing about that flow.
 		ga.actions = append(ga.actions, Action{Kind: KindDrop, Flow: pk.Flow, Reason: ReasonNotHeld})
 		return
 	}
+	if pk.Opening && hf.stage == stageAccepted {
+		ga.declineReturned(hf, pk, data, ReasonHostRefused)
+		return
+	}
 	re := ReasonNotHeld
 	if hf.stage == stageOpen {
 		re = ReasonHostLost
@@ -66,6 +74,11 @@
 	if !pk.Opening {
 		hf.exchange.host.start(pk.Acknowledged)
 	}
+	ga.declineReturned(hf, pk, data, re)
+}
+
+// declineReturned sends a packet that the host returned back to its balancer.
+func (ga *Gate) declineReturned(hf *hostFlow, pk Packet, data []byte, re Reason) {
 	ga.actions = append(ga.actions, Action{
 		Kind: KindDecline, To: hf.balancer, Flow: pk.Flow, Data: data, Reason: re, Opening: pk.Opening,
 		Acknowledged: pk.Acknowledged,
@@ -90,6 +103,7 @@
 		}
 		hf = &hostFlow{flow: pk.Flow, stage: stageOpen}
 		hf.exchange.host.start(pk.Sequence)
+		hf.exchange.caller.start(pk.Acknowledged)
 		if pk.Accepting {
 			// The flow is not open yet: its caller may have opened it at another
 			// host meanwhile.
@@ -98,10 +112,11 @@
 		ga.flows.put(now, pk.Flow, hf)
 	}
 	switch {
+	case pk.Accepting && hf.stage == stageOpen:
+		// The host answers a late copy of the opening.
+		ga.confirm(hf)
 	case pk.Accepting:
-		if hf.stage == stagePending || hf.stage >= stageTentative {
-			hf.stage = stageAccepted
-		}
+		hf.stage = stageAccepted
 		hf.initialSequence = pk.Sequence
 		hf.exchange.host.start(pk.Sequence)
 		ga.confirm(hf)
@@ -115,6 +130,11 @@
 
 func (ga *Gate) confirm(hf *hostFlow) {
 	if hf.balancer.IsValid() {
-		ga.actions = append(ga.actions, Action{Kind: KindConfirm, To: hf.balancer, Flow: hf.flow})
+		ga.confirmTo(hf.balancer, hf.flow)
 	}
 }
+
+// confirmTo tells the balancer that the host has accepted the flow.
+func (ga *Gate) confirmTo(balancer netip.AddrPort, flow Flow) {
+	ga.actions = append(ga.actions, Action{Kind: KindConfirm, To: balancer, Flow: flow})
+}
--- a/internal/coordination/carriage/opening.go
+++ b/internal/coordination/carriage/opening.go
@@ -18,6 +18,11 @@
 	if ga.serveQueueOfColdHost(now) {
 		hf, _ = ga.flows.get(now, fp.Flow)
 	}
+	if hf.isInUseAt(fp) {
+		// The caller has completed the handshake and needs no other answer of the host.
+		ga.confirmTo(fp.From, fp.Flow)
+		return
+	}
 	known := hf.isOpenedBy(fp)
 	if !known {
 		if re := ga.declineReason(now, fp); re != ReasonNone {
@@ -48,6 +53,19 @@
 	return hf != nil && hf.stage < stageTentative && !hf.closed && hf.openingSequence == fp.Sequence
 }
 
+// isInUseAt reports whether the opening packet is a late copy of the one that opened a flow
+// which the caller uses. An agent that was restarted doesn't know the number of that
+// packet, and takes one near the caller's data for it. It reports false for no flow.
+func (hf *hostFlow) isInUseAt(fp ForwardedPacket) bool {
+	if hf == nil || hf.stage != stageOpen || hf.closed {
+		return false
+	}
+	if hf.opened.IsZero() {
+		return hf.exchange.caller.known && near(fp.Sequence, hf.exchange.caller.end)
+	}
+	return hf.openingSequence == fp.Sequence
+}
+
 // admit returns a new flow in place of the former one between the same addresses,
 // nil if there was none.
 func (ga *Gate) admit(now time.Time, fp ForwardedPacket, former *hostFlow) *hostFlow {
--- a/internal/coordination/carriage/placing.go
+++ b/internal/coordination/carriage/placing.go
@@ -7,6 +7,11 @@
 
 // handleOpening handles an opening packet or a copy of one.
 func (pl *Placer) handleOpening(now time.Time, pk Packet, data []byte, tf *trackedFlow) {
+	if pk.Wait+copyAge(pk.Copy) >= pl.parking.openingTimeout {
+		// The caller has given up, or has opened the flow with a later copy.
+		pl.drop(pk.Flow, ReasonUnconfirmed, true)
+		return
+	}
 	if tf != nil && tf.isReopenedBy(now, pk) {
 		pl.forget(tf)
 		tf = nil
