fix(members): pages of a configuration are put together for each sender

Cause: pages were put together by version, page count and index. Processes that remember different former services encode one version in different ways, so pages of two senders were mixed. The version counted as the process's own before the result was decoded; it was announced and confirmed, so nobody sent the pages again and the store wasn't read.

Change: pages are collected for each sender. A sender whose pages are incomplete is asked again after 200 ms, as pages of two senders no longer complete each other.

Ruled out: pages of evacuations, which have one encoding for a revision. Not taken: a checksum in the pages; members of a former build would refuse them.

The harnesses of two tests accept what they are told, as the carrier does; their checks are unchanged.

--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -3,25 +3,22 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 )
 
-// configuration is the newest encoded configuration that is complete, and the
-// pages received of a newer one.
+// configuration is the newest encoded configuration that is in force, and the
+// pages received of newer ones.
 type configuration struct {
-	version        uint64
-	data           []byte
-	pendingVersion uint64
-	pages          [][]byte
-	missingPages   int
+	version    uint64
+	data       []byte
+	assemblies assemblies
+	// nextRequest is from when a member with a newer version is asked for it.
+	nextRequest time.Time
 	// first says that the configuration is the first one, read from the store. Members
 	// then may know more of the same version: which services addresses had before.
 	first bool
 }
 
-// maxPages bounds the pages of a configuration, which is one object of the store
-// of about 1 MiB at most.
-const maxPages = 1 << 20 / bytesInPage
-
 // Version returns the version of the newest configuration, zero without one.
 func (co *configuration) Version() uint64 { return co.version }
 
@@ -37,6 +34,9 @@
 	}
 	vi.first = vi.version == 0
 	vi.version, vi.data = version, data
+	if !vi.first {
+		vi.assemblies.dropUpTo(version)
+	}
 	informed := map[string]struct{}{vi.self.Domain: {}}
 	for _, address := range vi.addresses() {
 		me := vi.members[address]
@@ -52,6 +52,19 @@
 	return vi.actions
 }
 
+// Accept makes a configuration that KindConfiguration has reported the view's own. A
+// process calls it once it has decoded the configuration and put it in force; one that is
+// refused is sent again by the members that have it.
+func (vi *View) Accept(version uint64, data []byte) {
+	if version < vi.version {
+		return
+	}
+	vi.version, vi.data = version, data
+	vi.first = false
+	vi.nextRequest = time.Time{}
+	vi.assemblies.dropUpTo(version)
+}
+
 // HandleVersion handles a configuration version that a member was seen to have.
 // If it is newer than the view's own, the member is greeted, so that it sends
 // its configuration.
@@ -71,12 +84,13 @@
 // compareVersions sends the configuration to a member whose version is older, or that
 // joins with the same one, and greets a member whose version is newer, so that it sends
 // its configuration. The greeting is left out if the member asked for an answer, which
-// has the same effect.
-func (vi *View) compareVersions(from netip.AddrPort, gr *Greeting) {
+// has the same effect, or if a configuration was asked for a moment ago.
+func (vi *View) compareVersions(now time.Time, from netip.AddrPort, gr *Greeting) {
 	switch {
 	case gr.Version < vi.version || gr.Joins() && gr.Version == vi.version:
 		vi.sendConfiguration(from)
-	case gr.Version > vi.version && !gr.WantAnswer:
+	case gr.Version > vi.version && !gr.WantAnswer && !now.Before(vi.nextRequest):
+		vi.nextRequest = now.Add(pageRetry)
 		vi.send(from, Message{Greeting: vi.greeting(RoleBalancer, true, false)})
 	}
 }
@@ -90,28 +104,3 @@
 		}})
 	}
 }
-
-// collect stores a page of a configuration, and replaces the present one when all
-// pages are there. Pages of a version that is not newer are ignored, unless it is that of
-// the first configuration.
-func (vi *View) collect(pa *Page) {
-	isNew := pa.Version > vi.version || vi.first && pa.Version == vi.version
-	if !isNew || pa.Version < vi.pendingVersion || pa.Index >= pa.Count || pa.Count > maxPages {
-		return
-	}
-	if pa.Version > vi.pendingVersion || len(vi.pages) != int(pa.Count) {
-		vi.pendingVersion = pa.Version
-		vi.pages = make([][]byte, pa.Count)
-		vi.missingPages = int(pa.Count)
-	}
-	if vi.pages[pa.Index] == nil {
-		vi.pages[pa.Index] = pa.Data
-		vi.missingPages--
-	}
-	if vi.missingPages > 0 {
-		return
-	}
-	vi.version, vi.data = vi.pendingVersion, slices.Concat(vi.pages...)
-	vi.pages, vi.first = nil, false
-	vi.actions = append(vi.actions, Action{Kind: KindConfiguration, Data: vi.data, Version: vi.version})
-}
--- a/internal/coordination/members/confirmation_test.go
+++ b/internal/coordination/members/confirmation_test.go
@@ -63,6 +63,10 @@
 // deliver performs the actions of a balancer. Messages arrive at once.
 func (wf *watchFleet) deliver(from *watchingBalancer, list []Action) {
 	for _, ac := range append([]Action(nil), list...) {
+		if ac.Kind == KindConfiguration {
+			from.Accept(ac.Version, ac.Data)
+			continue
+		}
 		for _, to := range wf.balancers {
 			if to.Self().Address != ac.To || to.lost || from.lost {
 				continue
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -96,6 +96,7 @@
 			}
 		case KindConfiguration:
 			fl.configs[from] = ac.Version
+			fl.nodes[from].Accept(ac.Version, ac.Data)
 		case KindRegister:
 			fl.registered[from]++
 		case KindRemoved:
@@ -301,6 +302,7 @@
 					deliver(from, to, to.Handle(began, from.Self().Address, ac.Message))
 				case KindConfiguration:
 					configurations = append(configurations, string(ac.Data))
+					from.Accept(ac.Version, ac.Data)
 				}
 			}
 		}
--- a/internal/coordination/members/message.go
+++ b/internal/coordination/members/message.go
@@ -114,8 +114,8 @@
 	KindSend Kind = iota + 1
 	// KindChanged reports that a member was added or has a new Record.
 	KindChanged
-	// KindConfiguration reports that a newer configuration was received completely:
-	// Data, of the version Version.
+	// KindConfiguration reports that a newer configuration was received completely from
+	// the process at To: Data, of the version Version. It becomes the view's own by Accept.
 	KindConfiguration
 	// KindRegister asks for the process's entry in the store to be written again:
 	// another member says that it may be missing.
--- a/internal/coordination/members/view.go
+++ b/internal/coordination/members/view.go
@@ -195,20 +195,24 @@
 
 // Deadline returns when Tick is due.
 func (vi *View) Deadline() time.Time {
-	if !vi.repeatAt.IsZero() && vi.repeatAt.Before(vi.nextGreet) {
-		return vi.repeatAt
+	first := vi.nextGreet
+	for _, at := range []time.Time{vi.repeatAt, vi.assemblies.due()} {
+		if !at.IsZero() && at.Before(first) {
+			first = at
+		}
 	}
-	return vi.nextGreet
+	return first
 }
 
-// Tick sends a changed record a second time, greets the next member or removes
-// it. It is to be called at Deadline.
+// Tick sends a changed record a second time, asks for missing pages, and greets the next
+// member or removes it. It is to be called at Deadline.
 func (vi *View) Tick(now time.Time) []Action {
 	vi.actions = vi.actions[:0]
 	if !vi.repeatAt.IsZero() && !now.Before(vi.repeatAt) {
 		vi.repeatAt = time.Time{}
 		vi.sendRecord()
 	}
+	vi.retryPages(now)
 	if now.Before(vi.nextGreet) {
 		return vi.actions
 	}
@@ -345,7 +349,7 @@
 		vi.handleGreeting(now, msg.Greeting)
 	}
 	if msg.Page != nil {
-		vi.handlePage(now, msg.Page)
+		vi.handlePage(now, from, msg.Page)
 	}
 	return vi.actions
 }
@@ -386,7 +390,7 @@
 	if gr.WantView || share {
 		vi.sendView(from, gr.Record.Role)
 	}
-	vi.compareVersions(from, gr)
+	vi.compareVersions(now, from, gr)
 }
 
 // sendView sends the records that a peer of the role keeps, in pages.
@@ -401,12 +405,12 @@
 }
 
 // handlePage handles a page of another process's view or configuration.
-func (vi *View) handlePage(now time.Time, pa *Page) {
+func (vi *View) handlePage(now time.Time, from netip.AddrPort, pa *Page) {
 	for _, re := range pa.Records {
 		vi.merge(now, re, false)
 	}
 	if pa.Count > 0 {
-		vi.collect(pa)
+		vi.collect(now, from, pa)
 	}
 }
 
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -286,7 +286,7 @@
 		case members.KindChanged:
 			changed = append(changed, ac.Record)
 		case members.KindConfiguration:
-			no.handleRoutes(now, ac.Data, ac.Version)
+			no.handleRoutes(now, ac)
 		case members.KindRegister:
 			signal(no.entryMissing)
 		case members.KindAskConfirmation:
@@ -336,13 +336,18 @@
 }
 
 // handleRoutes decodes a configuration that another member sent and puts it in
-// force.
-func (no *node) handleRoutes(now time.Time, data []byte, version uint64) {
-	ro, err := waybill.DecodeRoutes(data)
+// force. One that is refused is asked for again.
+func (no *node) handleRoutes(now time.Time, ac members.Action) {
+	ro, err := waybill.DecodeRoutes(ac.Data)
+	if err == nil && ro.Version != ac.Version {
+		err = errors.Wrapf(waybill.ErrMalformed, "configuration %d in pages of %d", ro.Version, ac.Version)
+	}
 	if err != nil {
-		klog.ErrorS(err, "Configuration refused", "version", version)
+		no.metrics.Count("ConfigurationsRefused", 1)
+		klog.ErrorS(err, "Configuration refused", "version", ac.Version, "from", ac.To)
 		return
 	}
+	no.view.Accept(ac.Version, ac.Data)
 	no.setRoutes(now, ro, "member")
 }
 
