fix(cmd): SIGHUP ends no role, also not in its planned stop

Cause: the goroutine that reloads the settings ended with the context that SIGTERM cancels, and gave SIGHUP its default action back while the stop went on. The roles of the own interface did the same with their keys, and SIGHUP was not handled before the reload ran.

Change: a role takes over SIGHUP for its whole life before it reads its settings.

Ruled out: a second handler of the signal; signal.Stop with no other channel restores the default.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -32,6 +32,7 @@
 		long:    short + ". SIGTERM stops it gracefully, SIGHUP reads the settings file again and applies its Store, Seeds and StopWithin.",
 		options: op,
 		action: func(ru *run, _ []string) error {
+			surviveHangups()
 			return start(ru, op.Settings)
 		},
 	}
--- a/cmd/role.go
+++ b/cmd/role.go
@@ -27,6 +27,7 @@
 		long:    long,
 		options: op,
 		action: func(ru *run, _ []string) error {
+			surviveHangups()
 			st, err := settings.Load(op.Settings, defaults)
 			if err != nil {
 				return &exitError{code: ExitUsage, err: err}
@@ -36,6 +37,12 @@
 	}
 }
 
+// surviveHangups keeps SIGHUP from ending the process. A role reloads settings or keys at
+// one while it runs; before and after that, in its planned stop, it does nothing.
+func surviveHangups() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+}
+
 // openKeys loads the keys and reloads them at each SIGHUP until the context ends.
 func openKeys(ctx context.Context, ks settings.Keys) (*keys.Store, error) {
 	st, err := keys.Open(keys.Paths(ks))
