fix(carriage): an agent doesn't say that its host may hold a flow it delivers nothing of

Cause: an agent that may not know all flows of its host answered Possible or Unlikely although it remembered another open flow between the same addresses, and for that reason declined the packet without handing it to its host. No search could end.

Change: it answers Reused then, as a certain agent does. A host doesn't hold two flows between the same addresses, and the opening of the later one would have come through this process.

The test counts the time as steady in which an agent of another service isn't certain: its host is sent the packet now, so there is no reason to leave it out.

Before: the new case of TestAgentAnswers failed.

--- a/internal/coordination/carriage/absence_test.go
+++ b/internal/coordination/carriage/absence_test.go
@@ -290,6 +290,15 @@
 		So(ask(gw, pk.Acknowledged), ShouldEqual, absence.Absent)
 		So(ask(gw, 7000001), ShouldEqual, absence.Possible)
 	})
+	Convey("An agent says that its host holds no other flow between the addresses of an open one, as it delivers no packet of it", t, func() {
+		gw := newGateAtWork()
+		gw.restartAgentBesideHost()
+		gw.SetRoutes(newSimulation(1, 1, 1).routes)
+		pk := gw.open()
+		So(ask(gw, pk.Acknowledged), ShouldEqual, absence.Held)
+		So(ask(gw, 7000001), ShouldEqual, absence.Reused)
+		So(kinds(gw.fromCaller(Packet{Sequence: 900001, Length: 100, Acknowledged: 7000001})), ShouldResemble, []Kind{KindDecline})
+	})
 	Convey("A returned opening proves nothing about another flow between the same addresses", t, func() {
 		gw := newGateAtWork()
 		gw.restartAgentBesideHost()
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -121,7 +121,8 @@
 		return absence.Absent
 	case hf != nil && hf.mayBecomeOf(qu.Acknowledged):
 		return absence.Possible
-	case !ga.mayHold(now) && hf != nil && hf.isKnownHolder():
+	case hf != nil && hf.isKnownHolder() && (hf.stage == stageOpen || !ga.mayHold(now)):
+		// A host doesn't hold two flows between the same addresses.
 		return absence.Reused
 	case !ga.mayHold(now) && !ga.certainty.Repeated(now):
 		return absence.Provisional
