fix(carriage): what a host has returned is remembered over its restart

Callers saw: silence on flows that no host held, after their hosts had restarted.

Cause: an agent forgot at its host's restart that the host had returned a flow's packet, and answered Unlikely again.

Change: only flows whose opening or tentative packet is unanswered are forgotten. A flow is opened once, so a host that didn't hold it doesn't hold it after a restart either.

Before: the new case of TestAgentAnswers failed (Unlikely instead of Absent).

--- a/internal/coordination/carriage/absence_test.go
+++ b/internal/coordination/carriage/absence_test.go
@@ -290,6 +290,21 @@
 		So(ask(gw, pk.Acknowledged), ShouldEqual, absence.Absent)
 		So(ask(gw, 7000001), ShouldEqual, absence.Possible)
 	})
+	Convey("So it does after the host has restarted", t, func() {
+		gw := newGateAtWork()
+		gw.restartAgentBesideHost()
+		gw.SetRoutes(newSimulation(1, 1, 1).routes)
+		pk := Packet{Sequence: 1001, Length: 100, Acknowledged: 500001}
+		gw.fromCaller(pk)
+		pk.Returned = true
+		gw.fromHost(pk)
+		ci := gw.checkIn(2)
+		ci.StartedAt = gw.now.Add(time.Second)
+		_, err := gw.CheckIn(gw.now, ci)
+		So(err, ShouldBeNil)
+		So(ask(gw, pk.Acknowledged), ShouldEqual, absence.Absent)
+		So(ask(gw, 7000001), ShouldEqual, absence.Unlikely)
+	})
 	Convey("An agent says that its host holds no other flow between the addresses of an open one, as it delivers no packet of it", t, func() {
 		gw := newGateAtWork()
 		gw.restartAgentBesideHost()
--- a/internal/coordination/carriage/checkin.go
+++ b/internal/coordination/carriage/checkin.go
@@ -117,9 +117,10 @@
 	return repeated && now.Sub(ga.refusedAt) >= ga.heartbeat/2 && now.Sub(ga.checkedIn) >= maxMissedCheckIns*ga.heartbeat
 }
 
-// hostRestarted forgets the flows that the host's previous start had not accepted, and
-// the average service time. The others are kept without a request in progress: the host
-// returns their next packets if it doesn't hold them, and only its word ends a flow.
+// hostRestarted forgets the flows that the host's previous start had neither accepted nor
+// returned, and the average service time. The others are kept without a request in
+// progress: the host returns their next packets if it doesn't hold them, and only its word
+// ends a flow. One that it has returned it doesn't hold after a restart either.
 func (ga *Gate) hostRestarted(now time.Time) {
 	ga.hostOlder = false
 	ga.handshakes = nil
@@ -128,10 +129,11 @@
 	for el := ga.flows.order.Front(); el != nil; {
 		next := el.Next()
 		hf := el.Value.(*recentEntry[*hostFlow]).value
-		if hf.stage == stageAccepted || hf.stage == stageOpen {
-			ga.endProgress(now, hf)
-		} else {
+		switch hf.stage {
+		case stagePending, stageTentative:
 			ga.forget(now, hf)
+		default:
+			ga.endProgress(now, hf)
 		}
 		el = next
 	}
