fix(carrier): the store keeps the former services of addresses

Cause: which services an address had before was remembered by processes only. After all had ended, nobody knew that a flow may be at a host of the former service.

Change: the store has a service record, the services of each address with the former ones. The first balancer of each failure domain writes it a second after routes with services that it lacks; a balancer reads it before its first configuration.

Ruled out: finding the flows without memory and without asking hosts of other services; agents of both services answer alike.

--- a/internal/coordination/absence/answer.go
+++ b/internal/coordination/absence/answer.go
@@ -4,8 +4,9 @@
 type Answer uint8
 
 const (
-	// Unknown is an answer of a later build, or of a former one whose host must not be sent
-	// the packet because the flow's address belongs to other services. It proves nothing.
+	// Unknown says that the agent can't tell, and that its host must not be sent a packet
+	// of the flow to find out: the flow's address belongs to other services. There is no
+	// reset then. It also stands for an answer of a later build.
 	Unknown Answer = iota
 	// Held says that the host is known to hold the flow, to have accepted it, or to have
 	// lost it.
@@ -16,8 +17,7 @@
 	// Absent says that the host doesn't hold the flow and never will.
 	Absent
 	// Unlikely is Possible of an agent whose host seems to have started with it, as far as
-	// start times tell, or whose service the flow's address isn't known to have had. That is
-	// no proof, but such hosts are sent the packet last.
+	// start times tell. That is no proof, but such hosts are sent the packet last.
 	Unlikely
 	// Reused is Absent of an agent whose host holds another flow between the same
 	// addresses.
--- a/internal/coordination/carriage/absence_random_test.go
+++ b/internal/coordination/carriage/absence_random_test.go
@@ -136,7 +136,8 @@
 	return !slices.ContainsFunc(mo.hosts, func(ho *simHost) bool { return !mo.canAnswer(ho) })
 }
 
-// canAnswer reports whether the agent and its host can tell which flows the host holds.
+// canAnswer reports whether the agent and its host can tell which flows the host holds. An
+// agent of another service that isn't certain can't: its host must not be sent the packet.
 func (mo *absenceModel) canAnswer(ho *simHost) bool {
 	switch {
 	case ho.departed:
@@ -145,6 +146,8 @@
 		return false
 	case ho.gate.Gone():
 		return true
+	case ho.gate.mayHold(mo.now) && ho.gate.servedElsewhere(Flow{Service: simAddress}):
+		return false
 	default:
 		return ho.alive && !mo.now.Before(ho.process.frozenUntil)
 	}
--- a/internal/coordination/carriage/holding.go
+++ b/internal/coordination/carriage/holding.go
@@ -11,11 +11,12 @@
 // packet is delivered if the host may hold the flow: after a restart of the agent
 // a balancer still sends the flows here that an earlier process confirmed to it.
 func (ga *Gate) handleUnknownFlow(now time.Time, fp ForwardedPacket, data []byte) {
-	if !ga.mayHold(now) {
+	located := fp.Mode == DeliverOrQueue
+	if !ga.mayHold(now) || !located && ga.servedElsewhere(fp.Flow) {
 		ga.decline(fp, data, ReasonNotHeld)
 		return
 	}
-	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: fp.Mode == DeliverOrQueue}
+	hf := &hostFlow{flow: fp.Flow, stage: stageTentative, balancer: fp.From, located: located}
 	hf.exchange.host.start(fp.Acknowledged)
 	hf.exchange.caller.start(fp.Sequence)
 	ga.flows.put(now, fp.Flow, hf)
@@ -128,8 +129,10 @@
 		return absence.Provisional
 	case !ga.mayHold(now):
 		return absence.Absent
-	case ga.servedElsewhere(qu.Flow) || !ga.hostOlder:
+	case ga.servedElsewhere(qu.Flow):
 		// The routes are no proof: the address may have had the host's service before.
+		return absence.Unknown
+	case !ga.hostOlder:
 		return absence.Unlikely
 	default:
 		return absence.Possible
--- a/internal/coordination/members/confirmation.go
+++ b/internal/coordination/members/confirmation.go
@@ -57,6 +57,10 @@
 // configuration for so long that those may have failed, or may not reach the store.
 func (vi *View) WatchesStore(now time.Time) bool { return !now.Before(vi.WatchDue()) }
 
+// WatchesFirst reports whether the balancer is the first of its failure domain that always
+// watch the store.
+func (vi *View) WatchesFirst() bool { return vi.watchRank() == 0 }
+
 // WatchDue returns from when a balancer is to watch the store, the zero time if always.
 func (vi *View) WatchDue() time.Time {
 	reserve := vi.watchRank() - watchersPerDomain
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -110,6 +110,7 @@
 			gr.Go(func() error { return serve(work, ba.settings.Ready, ready) })
 			gr.Go(func() error { return serve(work, ba.config.Settings.Control, ready) })
 			gr.Go(func() error { return ba.followRoutes(work) })
+			gr.Go(func() error { return ba.recordServices(work) })
 			gr.Go(func() error { return ba.reviewEntries(work) })
 			if ba.evacuations != nil {
 				gr.Go(func() error { return ba.followEvacuations(work) })
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -114,6 +114,14 @@
 	// there was none. ErrRevisionExpired is returned, wrapped, if the store can't
 	// watch from the position.
 	Watch func(ctx context.Context, after Position, deadline time.Time) (*catalog.Routes, Position, error)
+	// Services reads the service record and its revision. The record is nil, and the
+	// revision zero, if the store has none. A nil function stands for a store that keeps
+	// no record.
+	Services func(ctx context.Context) (*catalog.ServiceRecord, uint64, error)
+	// WriteServices replaces the service record that has the revision, or creates it if
+	// that is zero, and returns the new revision. ErrRecordChanged is returned, wrapped, if
+	// the record has another revision.
+	WriteServices func(ctx context.Context, record *catalog.ServiceRecord, revision uint64) (uint64, error)
 	// Evacuations reads the names of the evacuated failure domains and the store's
 	// position.
 	Evacuations func(ctx context.Context) ([]string, Position, error)
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -64,7 +64,7 @@
 }
 
 // advancePosition takes over the position of an answer. If it belongs to another
-// history than the last, the entries in the store may have changed.
+// history than the last, the entries and the service record in the store may have changed.
 func (no *node) advancePosition(rw *routesWatch, next Position) {
 	if rw.failed.failures > 0 {
 		klog.InfoS("Store regained", "failures", rw.failed.failures, "before", rw.position, "now", next)
@@ -74,6 +74,7 @@
 	}
 	if rw.history != next.History && rw.history != (History{}) {
 		signal(no.entriesDoubtful)
+		no.doubtServices()
 	}
 	rw.failed.failures = 0
 	rw.position, rw.history = next, next.History
@@ -125,6 +126,10 @@
 	if position.Revision > 0 {
 		ro, next, err = no.store.Watch(ctx, position, deadline)
 	} else {
+		if err := no.readServices(ctx); err != nil {
+			// The configuration is needed more; the record is read again later.
+			klog.ErrorS(err, "Service record not read; former services may be unknown")
+		}
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		ro, next, err = no.store.Routes(ctx)
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -54,6 +54,8 @@
 	routes *catalog.Routes
 	// former keeps the services that addresses had before.
 	former *catalog.FormerServices
+	// recorded is the service record in the store as far as it is known.
+	recorded serviceRecord
 	// evacuations is nil if evacuation is off.
 	evacuations *evacuation.Keeper
 	// reviews decides when the process reviews the entries in the store. Only balancers
@@ -100,6 +102,8 @@
 	entriesDoubtful chan struct{}
 	// reviewsChanged is signaled when another balancer has reviewed the entries.
 	reviewsChanged chan struct{}
+	// servicesChanged is signaled when routes from the store were put in force.
+	servicesChanged chan struct{}
 }
 
 // newNode opens the socket for messages between processes. The caller sets the
@@ -120,6 +124,7 @@
 		entryMissing:    make(chan struct{}, 1),
 		entriesDoubtful: make(chan struct{}, 1),
 		reviewsChanged:  make(chan struct{}, 1),
+		servicesChanged: make(chan struct{}, 1),
 	}
 	if st.EvacuateWithin > 0 {
 		no.evacuations = evacuation.NewKeeper(st.Domain)
@@ -366,6 +371,8 @@
 		// A member may know more former services of the same version, and the warm-up
 		// limits, which a former build that read it from the store leaves out.
 		no.routes = no.former.Succeed(now, ro, no.routes.WithWarmUpsOf(ro))
+	case no.routes == nil:
+		no.routes = no.former.Succeed(now, no.recorded.record.Routes(), ro)
 	default:
 		no.routes = no.former.Succeed(now, no.routes, ro)
 	}
@@ -385,6 +392,7 @@
 	}
 	now := time.Now()
 	no.setRoutes(now, ro, "store")
+	signal(no.servicesChanged)
 	data, err := waybill.EncodeRoutes(no.routes)
 	if err != nil {
 		klog.ErrorS(err, "Configuration not sent to members", "version", ro.Version)
