refactor(carriage): judge once a search whether all agents have answered

Found on reading the change: each of up to 64 tries listed all agents that may hold the flow, which a young balancer with thousands of agents would sort each time. A search notes it once now. Besides, pages of versions older than one that was read from the store are dropped, and a service record that doesn't fit into the store is reported and not tried again.

Checked: tests of carriage, members, carrier and platform's record; the linter.

--- a/internal/coordination/carriage/questions.go
+++ b/internal/coordination/carriage/questions.go
@@ -313,7 +313,7 @@
 		return false
 	}
 	before := se.round
-	if len(se.possible) > 0 && pl.mayTry(now, tf, false) {
+	if len(se.possible) > 0 && pl.mayTry(now, tf) {
 		se.round = roundTryCandidates
 		if pl.tryNext(now, tf) {
 			return true
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -109,6 +109,10 @@
 	// the oldest first. packetTried says that the packet that is searched for is among them.
 	triedPackets [maxTriedPackets]time.Time
 	packetTried  bool
+	// complete says that all agents have answered, in this search or before, that may hold
+	// the flow and aren't silent. reachesHolder says that the packet can be sent to all hosts
+	// that are left, and that no agent is silent.
+	complete, reachesHolder bool
 	// possibleUntil is until when the lists possible and unlikely are kept for the next
 	// search.
 	possibleUntil time.Time
--- a/internal/coordination/carriage/tentative.go
+++ b/internal/coordination/carriage/tentative.go
@@ -100,16 +100,16 @@
 // false if there is none.
 func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
-	list := pl.mayHold(now, tf.flow)
-	complete := se.round == roundTryAll && pl.haveAnswered(now, se, list)
-	if !se.mayTryPacket(now) && (!complete || !se.reachesAll(list)) {
-		return false
+	if se.round == roundTryAll && !se.complete {
+		list := pl.mayHold(now, tf.flow)
+		se.complete = pl.haveAnswered(now, se, list)
+		se.reachesHolder = se.complete && se.reachesAll(list)
 	}
-	if !pl.mayTry(now, tf, complete) {
+	if !se.mayTryPacket(now) && !se.reachesHolder || !pl.mayTry(now, tf) {
 		return false
 	}
 	ag := pl.nextPossible(se, &se.possible)
-	if ag == nil && complete {
+	if ag == nil && se.complete {
 		ag = pl.nextPossible(se, &se.unlikely)
 	}
 	if ag == nil {
@@ -122,12 +122,11 @@
 	return true
 }
 
-// mayTry reports whether the search may send the packet to another host. Complete says
-// that all agents have answered which may hold the flow.
-func (pl *Placer) mayTry(now time.Time, tf *trackedFlow, complete bool) bool {
+// mayTry reports whether the search may send the packet to another host.
+func (pl *Placer) mayTry(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
 	switch {
-	case complete:
+	case se.complete:
 		return se.tentative < maxTentative
 	case se.round == roundTryAll:
 		return false
--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -34,7 +34,10 @@
 	}
 	vi.first = vi.version == 0
 	vi.version, vi.data = version, data
-	if !vi.first {
+	if vi.first {
+		// Pages of the same version may tell more.
+		vi.assemblies.dropUpTo(version - 1)
+	} else {
 		vi.assemblies.dropUpTo(version)
 	}
 	informed := map[string]struct{}{vi.self.Domain: {}}
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -120,7 +120,7 @@
 	Services func(ctx context.Context) (*catalog.ServiceRecord, uint64, error)
 	// WriteServices replaces the service record that has the revision, or creates it if
 	// that is zero, and returns the new revision. ErrRecordChanged is returned, wrapped, if
-	// the record has another revision.
+	// the record has another revision, and ErrRecordTooLarge if it can't be stored.
 	WriteServices func(ctx context.Context, record *catalog.ServiceRecord, revision uint64) (uint64, error)
 	// Evacuations reads the names of the evacuated failure domains and the store's
 	// position.
--- a/internal/transport/carrier/servicerecord.go
+++ b/internal/transport/carrier/servicerecord.go
@@ -10,9 +10,14 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
-// ErrRecordChanged means that another process has written the service record since it was
-// read.
-var ErrRecordChanged = errors.New("service record changed")
+var (
+	// ErrRecordChanged means that another process has written the service record since it
+	// was read.
+	ErrRecordChanged = errors.New("service record changed since it was read")
+	// ErrRecordTooLarge means that the service record doesn't fit into an object of the
+	// store.
+	ErrRecordTooLarge = errors.New("service record too large for the store")
+)
 
 // recordDelay is the time from a change of the routes to its record. Changes that follow
 // each other are recorded together, and a process that has just started knows the other
@@ -94,7 +99,7 @@
 }
 
 // recordOnce writes the service record if it lacks services of the routes in force. It
-// reports false if that is to be tried again.
+// reports false if that is to be tried again, which a record that is too large isn't.
 func (no *node) recordOnce(ctx context.Context) bool {
 	if err := no.readServices(ctx); err != nil {
 		klog.V(1).InfoS("Service record not read", "err", err)
@@ -109,6 +114,10 @@
 	written, err := no.store.WriteServices(ctx, record, revision)
 	no.mu.Lock()
 	defer no.mu.Unlock()
+	if errors.Is(err, ErrRecordTooLarge) {
+		klog.ErrorS(err, "Service record not written; former services are lost if all processes end at once")
+		return true
+	}
 	if err != nil {
 		// The call may have been done all the same.
 		no.recorded.wasRead = false
