fix(carrier): flows of a skipped version of the configuration are searched at all services

Cause: a balancer that reads the store after a pause gets the newest version only: a list has no other, and a watch kept the newest of its events. The service that an address had in a skipped version was unknown to it, so a proof of absence asked the agents of the services that it knew and no others. It sent its poorer routes on, and pages of the same version from members that knew more were ignored.

Ruled out: an agent that answered wrongly (the one with the flow was never asked), and an incomplete view of the members.

Change: routes say from which version on they name all services (catalog.Coverage). A reader that can't tell that it has read each version covers the one that it found only; what it gets from members and from later watches joins with what it had, or not, by version numbers. Incomplete routes are complete a flow's lifetime later. Until then a balancer asks the agents of all services, as it did while it was young. A watch returns all versions, each counts, and older ones add former services. The coverage travels with the routes in a way that former builds pass on, and a member with incomplete routes takes pages of the same version.

Why it works: a reset needs the word of each agent that may hold the flow, and the balancer no longer takes an incomplete list of services for the whole.

The log names what was read and which versions are covered.

--- a/internal/coordination/carriage/proof.go
+++ b/internal/coordination/carriage/proof.go
@@ -139,10 +139,11 @@
 }
 
 // agentsOfOtherServices returns the agents of the services that the flow's address is not
-// known to have had, while the balancer runs for less than a flow's lifetime. It returns
-// none if the address has no route, as possibleAgents returns all then.
+// known to have had, while the balancer runs for less than a flow's lifetime or has missed
+// a version of the routes within it. It returns none if the address has no route, as
+// possibleAgents returns all then.
 func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
-	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime {
+	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime && pl.routes.IsComplete(now) {
 		return nil
 	}
 	ro, ok := pl.routes.Addresses[flow.Service]
--- a/internal/coordination/members/assembly.go
+++ b/internal/coordination/members/assembly.go
@@ -92,10 +92,10 @@
 }
 
 // collect stores a page of a configuration, and reports the configuration when all pages
-// of one sender are there. Pages of a version that is not newer are ignored, unless it is
-// that of the first configuration.
+// of one sender are there. Pages of a version that is not newer are ignored, unless the
+// view's own configuration is of that version and partial.
 func (vi *View) collect(now time.Time, from netip.AddrPort, pa *Page) {
-	isNew := pa.Version > vi.version || vi.first && pa.Version == vi.version
+	isNew := pa.Version > vi.version || vi.partial && pa.Version == vi.version
 	if !isNew || pa.Index >= pa.Count || pa.Count > maxPages {
 		return
 	}
--- a/internal/coordination/members/assembly_test.go
+++ b/internal/coordination/members/assembly_test.go
@@ -89,7 +89,7 @@
 			list = vi.Handle(later, addressOf(3), msg)
 		}
 		So(configurationsIn(list), ShouldHaveLength, 1)
-		vi.Accept(7, list[0].Data)
+		vi.Accept(7, list[0].Data, false)
 		So(vi.Version(), ShouldEqual, 7)
 	})
 	Convey("A sender is asked again for the pages that are missing, and not for ever", t, func() {
@@ -136,8 +136,8 @@
 			fl.run(3 * time.Second)
 			fl.loss = 0.05
 			data := make([]byte, 60*bytesInPage)
-			fl.perform(addressOf(1), fl.nodes[addressOf(1)].Publish(7, data))
-			fl.perform(addressOf(2), fl.nodes[addressOf(2)].Publish(7, data))
+			fl.perform(addressOf(1), fl.nodes[addressOf(1)].Publish(7, data, true))
+			fl.perform(addressOf(2), fl.nodes[addressOf(2)].Publish(7, data, true))
 			fl.run(time.Second)
 			for _, vi := range fl.nodes {
 				So(vi.Version(), ShouldEqual, 7)
--- a/internal/coordination/members/configuration.go
+++ b/internal/coordination/members/configuration.go
@@ -14,9 +14,9 @@
 	assemblies assemblies
 	// nextRequest is from when a member with a newer version is asked for it.
 	nextRequest time.Time
-	// first says that the configuration is the first one, read from the store. Members
-	// then may know more of the same version: which services addresses had before.
-	first bool
+	// partial says that members may know more of the same version: which services
+	// addresses had in versions that this process hasn't seen.
+	partial bool
 }
 
 // Version returns the version of the newest configuration, zero without one.
@@ -26,20 +26,14 @@
 // the members of the process's own failure domain and to one balancer of each
 // other domain, unless they are known to have it. In the other domains processes
 // read the store as well, and a member that still lacks the version gets it after
-// its next greeting. A version that is not newer than the present one is ignored.
-func (vi *View) Publish(version uint64, data []byte) []Action {
+// its next greeting. Partial says that former services may be missing in it. A version
+// that is not newer than the present one is ignored, unless the present one is partial.
+func (vi *View) Publish(version uint64, data []byte, partial bool) []Action {
 	vi.actions = vi.actions[:0]
-	if version <= vi.version {
+	if version < vi.version || version == vi.version && !vi.partial {
 		return vi.actions
 	}
-	vi.first = vi.version == 0
-	vi.version, vi.data = version, data
-	if vi.first {
-		// Pages of the same version may tell more.
-		vi.assemblies.dropUpTo(version - 1)
-	} else {
-		vi.assemblies.dropUpTo(version)
-	}
+	vi.replace(version, data, partial)
 	informed := map[string]struct{}{vi.self.Domain: {}}
 	for _, address := range vi.addresses() {
 		me := vi.members[address]
@@ -57,15 +51,24 @@
 
 // Accept makes a configuration that KindConfiguration has reported the view's own. A
 // process calls it once it has decoded the configuration and put it in force; one that is
-// refused is sent again by the members that have it.
-func (vi *View) Accept(version uint64, data []byte) {
+// refused is sent again by the members that have it. Partial is as in Publish.
+func (vi *View) Accept(version uint64, data []byte, partial bool) {
 	if version < vi.version {
 		return
 	}
-	vi.version, vi.data = version, data
-	vi.first = false
 	vi.nextRequest = time.Time{}
-	vi.assemblies.dropUpTo(version)
+	vi.replace(version, data, partial)
+}
+
+// replace makes a configuration the view's own.
+func (vi *View) replace(version uint64, data []byte, partial bool) {
+	vi.version, vi.data, vi.partial = version, data, partial
+	if partial {
+		// Pages of the same version may tell more.
+		vi.assemblies.dropUpTo(version - 1)
+	} else {
+		vi.assemblies.dropUpTo(version)
+	}
 }
 
 // HandleVersion handles a configuration version that a member was seen to have.
--- a/internal/coordination/members/confirmation_test.go
+++ b/internal/coordination/members/confirmation_test.go
@@ -55,7 +55,7 @@
 
 // read reads the store's configuration and publishes it.
 func (wb *watchingBalancer) read(wf *watchFleet) {
-	list := wb.Publish(wf.version, []byte("routes"))
+	list := wb.Publish(wf.version, []byte("routes"), wb.Version() == 0)
 	wb.Confirm(wf.now)
 	wf.deliver(wb, list)
 }
@@ -64,7 +64,7 @@
 func (wf *watchFleet) deliver(from *watchingBalancer, list []Action) {
 	for _, ac := range append([]Action(nil), list...) {
 		if ac.Kind == KindConfiguration {
-			from.Accept(ac.Version, ac.Data)
+			from.Accept(ac.Version, ac.Data, false)
 			continue
 		}
 		for _, to := range wf.balancers {
--- a/internal/coordination/members/members_test.go
+++ b/internal/coordination/members/members_test.go
@@ -96,7 +96,7 @@
 			}
 		case KindConfiguration:
 			fl.configs[from] = ac.Version
-			fl.nodes[from].Accept(ac.Version, ac.Data)
+			fl.nodes[from].Accept(ac.Version, ac.Data, false)
 		case KindRegister:
 			fl.registered[from]++
 		case KindRemoved:
@@ -235,9 +235,9 @@
 		fl.run(2 * time.Second)
 		fl.loss = 0.1
 		data := make([]byte, 12*bytesInPage+7)
-		fl.perform(addressOf(1), fl.nodes[addressOf(1)].Publish(7, data))
+		fl.perform(addressOf(1), fl.nodes[addressOf(1)].Publish(7, data, true))
 		fl.run(100 * time.Millisecond)
-		fl.perform(addressOf(2), fl.nodes[addressOf(2)].Publish(5, data))
+		fl.perform(addressOf(2), fl.nodes[addressOf(2)].Publish(5, data, true))
 		fl.run(20 * time.Second)
 		for i := 2; i <= 6; i++ {
 			So(fl.nodes[addressOf(i)].Version(), ShouldEqual, 7)
@@ -260,7 +260,7 @@
 		fl.run(time.Second)
 		restarted := rapid.IntRange(1, count).Draw(rt, "restarted")
 		fl.start(restarted, 2, nil, []int{1, 2, 3})
-		fl.perform(addressOf(restarted), fl.nodes[addressOf(restarted)].Publish(9, []byte("nine")))
+		fl.perform(addressOf(restarted), fl.nodes[addressOf(restarted)].Publish(9, []byte("nine"), false))
 		fl.loss = 0
 		fl.run(30 * time.Second)
 		if !fl.complete() {
@@ -290,9 +290,9 @@
 func TestConfigurationOfAJoiningMember(t *testing.T) {
 	Convey("A process that joins with the version of its peers gets their configuration once", t, func() {
 		older, joining := NewView(Record{Address: addressOf(1), Role: RoleBalancer, Domain: "a"}), NewView(Record{Address: addressOf(2), Role: RoleBalancer, Domain: "a"})
-		older.Publish(6, []byte("older"))
-		older.Publish(7, []byte("with history"))
-		joining.Publish(7, []byte("from the store"))
+		older.Publish(6, []byte("older"), true)
+		older.Publish(7, []byte("with history"), false)
+		joining.Publish(7, []byte("from the store"), true)
 		var configurations []string
 		var deliver func(to, from *View, list []Action)
 		deliver = func(to, from *View, list []Action) {
@@ -302,7 +302,7 @@
 					deliver(from, to, to.Handle(began, from.Self().Address, ac.Message))
 				case KindConfiguration:
 					configurations = append(configurations, string(ac.Data))
-					from.Accept(ac.Version, ac.Data)
+					from.Accept(ac.Version, ac.Data, false)
 				}
 			}
 		}
--- a/internal/protocol/waybill/routes.go
+++ b/internal/protocol/waybill/routes.go
@@ -36,7 +36,7 @@
 	IdleTimeout time.Duration
 	Services    []string
 	Routes      []encodedRoute
-	// HealthPaths also holds the warm-up limits; see healthPathsWithWarmUps.
+	// HealthPaths also holds the warm-up limits and the coverage; see extendedHealthPaths.
 	HealthPaths map[string]string
 }
 
@@ -54,7 +54,7 @@
 
 // EncodeRoutes returns the routes in CBOR. Equal routes give equal bytes.
 func EncodeRoutes(ro *catalog.Routes) ([]byte, error) {
-	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout, HealthPaths: healthPathsWithWarmUps(ro)}
+	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout, HealthPaths: extendedHealthPaths(ro)}
 	indexes := make(map[string]uint32)
 	addresses := make([]netip.AddrPort, 0, len(ro.Addresses))
 	for address := range ro.Addresses {
@@ -89,9 +89,10 @@
 	if err := cbor.Unmarshal(data, &en); err != nil {
 		return nil, errors.Wrap(err, "decode routes")
 	}
+	coverage := takeCoverage(en.HealthPaths, en.Version)
 	healthPaths, warmUps := splitWarmUps(en.HealthPaths)
 	ro := &catalog.Routes{
-		Version: en.Version, IdleTimeout: en.IdleTimeout, HealthPaths: healthPaths, WarmUps: warmUps,
+		Version: en.Version, Coverage: coverage, IdleTimeout: en.IdleTimeout, HealthPaths: healthPaths, WarmUps: warmUps,
 		Addresses: make(map[netip.AddrPort]catalog.Route, len(en.Routes)),
 	}
 	for _, found := range en.Routes {
--- a/internal/protocol/waybill/warmups.go
+++ b/internal/protocol/waybill/warmups.go
@@ -1,7 +1,6 @@
 package waybill
 
 import (
-	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -13,20 +12,11 @@
 // name that begins with it.
 const warmUpPrefix = "\x00WarmUp "
 
-// healthPathsWithWarmUps returns the health paths with an entry for each warm-up limit. A
-// former build refuses routes with one more element, and keeps these entries as the
-// health paths of services that it never meets. Without limits the health paths are
-// returned as they are.
-func healthPathsWithWarmUps(ro *catalog.Routes) map[string]string {
-	if len(ro.WarmUps) == 0 {
-		return ro.HealthPaths
-	}
-	all := make(map[string]string, len(ro.HealthPaths)+len(ro.WarmUps))
-	maps.Copy(all, ro.HealthPaths)
-	for service, wu := range ro.WarmUps {
+// addWarmUps adds an entry for each limit to the health paths.
+func addWarmUps(all map[string]string, warmUps map[string]catalog.WarmUp) {
+	for service, wu := range warmUps {
 		all[warmUpPrefix+service] = wu.Duration.String() + " " + strconv.FormatFloat(wu.PerSecond, 'g', -1, 64)
 	}
-	return all
 }
 
 // splitWarmUps returns the health paths without the warm-up limits, and these. A limit
--- a/internal/state/catalog/former.go
+++ b/internal/state/catalog/former.go
@@ -30,13 +30,16 @@
 
 // Succeed returns the next routes with the former services of their addresses. The
 // previous routes are those that it returned last, nil before the first, or those that
-// another process has of the same version. An address that the next routes lack is gone
-// with its flows.
+// another process has of the same version, or older ones that the process didn't have
+// before. An address that the next routes lack is gone with its flows.
 func (fs *FormerServices) Succeed(now time.Time, previous, next *Routes) *Routes {
+	completeAt := now.Add(fs.lifetime)
+	merged := *next
+	merged.Coverage = next.settle(now, completeAt)
 	if previous == nil {
-		return next
+		return &merged
 	}
-	merged := *next
+	merged.Coverage = merged.join(previous.settle(now, completeAt), previous.Version)
 	merged.Addresses = make(map[netip.AddrPort]Route, len(next.Addresses))
 	until := make(map[formerService]time.Time)
 	for address, ro := range next.Addresses {
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -11,6 +11,7 @@
 type Routes struct {
 	// Version grows with each accepted configuration, not necessarily by one.
 	Version uint64
+	Coverage
 	// Addresses are the addresses that callers may open flows to.
 	Addresses map[netip.AddrPort]Route
 	// HealthPaths are the HTTP paths at which hosts report their health, by the
--- a/internal/state/catalog/servicerecord.go
+++ b/internal/state/catalog/servicerecord.go
@@ -48,7 +48,7 @@
 	if sr == nil {
 		return nil
 	}
-	ro := &Routes{Version: sr.Version, Addresses: make(map[netip.AddrPort]Route, len(sr.Services))}
+	ro := &Routes{Version: sr.Version, Coverage: Coverage{From: sr.Version}, Addresses: make(map[netip.AddrPort]Route, len(sr.Services))}
 	for address, names := range sr.Services {
 		var services WeightedServices
 		for _, name := range names {
--- a/internal/transport/carrier/doc.go
+++ b/internal/transport/carrier/doc.go
@@ -109,11 +109,10 @@
 	// Routes reads the configuration and the store's position. The routes are nil
 	// if the store has no configuration.
 	Routes func(ctx context.Context) (*catalog.Routes, Position, error)
-	// Watch waits until the deadline for a configuration that was written after the
-	// position, and returns it with the store's position. The routes are nil if
-	// there was none. ErrRevisionExpired is returned, wrapped, if the store can't
-	// watch from the position.
-	Watch func(ctx context.Context, after Position, deadline time.Time) (*catalog.Routes, Position, error)
+	// Watch waits until the deadline for configurations that were written after the
+	// position, and returns all of them, the oldest first, with the store's position.
+	// ErrRevisionExpired is returned, wrapped, if the store can't watch from the position.
+	Watch func(ctx context.Context, after Position, deadline time.Time) ([]*catalog.Routes, Position, error)
 	// Services reads the service record and its revision. The record is nil, and the
 	// revision zero, if the store has none. A nil function stands for a store that keeps
 	// no record.
--- a/internal/transport/carrier/evacuations_test.go
+++ b/internal/transport/carrier/evacuations_test.go
@@ -110,7 +110,7 @@
 		Routes: func(context.Context) (*catalog.Routes, Position, error) {
 			return &catalog.Routes{Version: 1}, Position{Revision: 1}, nil
 		},
-		Watch: func(ctx context.Context, _ Position, deadline time.Time) (*catalog.Routes, Position, error) {
+		Watch: func(ctx context.Context, _ Position, deadline time.Time) ([]*catalog.Routes, Position, error) {
 			es.routesRead++
 			sleepContext(ctx, time.Until(deadline))
 			return nil, Position{Revision: 1}, nil
--- a/internal/transport/carrier/explain_test.go
+++ b/internal/transport/carrier/explain_test.go
@@ -62,9 +62,9 @@
 			}
 			expect(explainAddress, http.StatusServiceUnavailable, explanation.NoConfiguration, explanation.OutcomeWaits, 0)
 
-			ba.publish(&catalog.Routes{Version: 7, Addresses: map[netip.AddrPort]catalog.Route{
+			ba.publish([]*catalog.Routes{{Version: 7, Addresses: map[netip.AddrPort]catalog.Route{
 				netip.MustParseAddrPort(explainAddress): {Services: catalog.WeightedServices{{Service: "yardline", Weight: 1}}},
-			}})
+			}}})
 			expect(explainAddress, http.StatusServiceUnavailable, explanation.StaleView, explanation.OutcomeWaits, 0)
 
 			from := netip.MustParseAddrPort("127.0.0.1:9")
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -13,8 +13,11 @@
 // routesWatch is the state of followRoutes: the position to watch from, the history of
 // the last answer, the failures since then, and whether the store is watched.
 type routesWatch struct {
-	position        Position
-	history         History
+	position Position
+	history  History
+	// from is the oldest version that was read before the position without one being
+	// missed after it, zero if none was.
+	from            uint64
 	failed, expired backoff
 	watching        bool
 }
@@ -30,7 +33,7 @@
 			continue
 		}
 		began := time.Now()
-		next, err := no.fetchRoutes(ctx, rw.position, no.watchDeadline(&rw, began))
+		next, err := no.fetchRoutes(ctx, &rw, no.watchDeadline(&rw, began))
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrRevisionExpired):
@@ -119,31 +122,55 @@
 // fetchRoutes reads the routes if nothing was read before the position, and otherwise
 // waits for newer ones until the deadline. Routes that it receives are published. It
 // returns the position to watch from.
-func (no *node) fetchRoutes(ctx context.Context, position Position, deadline time.Time) (Position, error) {
-	var ro *catalog.Routes
+func (no *node) fetchRoutes(ctx context.Context, rw *routesWatch, deadline time.Time) (Position, error) {
+	var list []*catalog.Routes
 	var next Position
 	var err error
-	if position.Revision > 0 {
-		ro, next, err = no.store.Watch(ctx, position, deadline)
+	if rw.position.Revision > 0 {
+		list, next, err = no.store.Watch(ctx, rw.position, deadline)
 	} else {
-		if err := no.readServices(ctx); err != nil {
-			// The configuration is needed more; the record is read again later.
-			klog.ErrorS(err, "Service record not read; former services may be unknown")
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		ro, next, err = no.store.Routes(ctx)
+		rw.from = 0
+		list, next, err = no.listRoutes(ctx)
 	}
 	if err != nil {
 		return next, err
 	}
-	if ro != nil {
-		no.publish(ro)
+	if len(list) > 0 {
+		no.publish(rw.covering(list))
 	}
 	no.confirm(deadline)
 	return next, nil
 }
 
+// listRoutes reads the newest routes, of which there are none if the store has no
+// configuration, and before them the service record unless its content is known.
+func (no *node) listRoutes(ctx context.Context) ([]*catalog.Routes, Position, error) {
+	if err := no.readServices(ctx); err != nil {
+		// The configuration is needed more; the record is read again later.
+		klog.ErrorS(err, "Service record not read; former services may be unknown")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	ro, position, err := no.store.Routes(ctx)
+	if err != nil || ro == nil {
+		return nil, position, err
+	}
+	return []*catalog.Routes{ro}, position, nil
+}
+
+// covering returns the routes, the oldest first, with the versions that were read before
+// each of them without a gap.
+func (rw *routesWatch) covering(list []*catalog.Routes) []*catalog.Routes {
+	if rw.from == 0 {
+		rw.from = list[0].Version
+	}
+	covering := make([]*catalog.Routes, len(list))
+	for i, ro := range list {
+		covering[i] = ro.CoveringFrom(rw.from)
+	}
+	return covering
+}
+
 // confirm notes that the store has answered a watch with the deadline: it has no newer
 // configuration now, or had none at the deadline if the answer took longer.
 func (no *node) confirm(deadline time.Time) {
--- a/internal/transport/carrier/follow_test.go
+++ b/internal/transport/carrier/follow_test.go
@@ -35,8 +35,8 @@
 		Routes: func(context.Context) (*catalog.Routes, Position, error) {
 			return &catalog.Routes{Version: version}, Position{Revision: version}, ss.ask(time.Now())
 		},
-		Watch: func(_ context.Context, _ Position, deadline time.Time) (*catalog.Routes, Position, error) {
-			return &catalog.Routes{Version: version + 1}, Position{Revision: version + 1}, ss.ask(deadline)
+		Watch: func(_ context.Context, _ Position, deadline time.Time) ([]*catalog.Routes, Position, error) {
+			return []*catalog.Routes{{Version: version + 1}}, Position{Revision: version + 1}, ss.ask(deadline)
 		},
 	}
 }
@@ -82,11 +82,11 @@
 	}
 	return Store{
 		Routes: func(context.Context) (*catalog.Routes, Position, error) { return read() },
-		Watch: func(ctx context.Context, from Position, deadline time.Time) (*catalog.Routes, Position, error) {
+		Watch: func(ctx context.Context, from Position, deadline time.Time) ([]*catalog.Routes, Position, error) {
 			for {
 				ro, next, err := read()
 				if next != from {
-					return ro, next, err
+					return []*catalog.Routes{ro}, next, err
 				}
 				if !time.Now().Before(deadline) || !sleepContext(ctx, 10*time.Millisecond) {
 					return nil, from, nil
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -352,53 +352,67 @@
 		klog.ErrorS(err, "Configuration refused", "version", ac.Version, "from", ac.To)
 		return
 	}
-	no.view.Accept(ac.Version, ac.Data)
+	no.view.Accept(ac.Version, ac.Data, ro.From != 0)
 	no.setRoutes(now, ro, "member")
 }
 
-// setRoutes puts the routes in force, with the former services of their addresses,
-// unless they are older than the present ones. It is called with mu held.
+// setRoutes puts the routes in force, with the former services of their addresses. Older
+// ones than the present ones only add former services. It is called with mu held.
 func (no *node) setRoutes(now time.Time, ro *catalog.Routes, source string) {
 	before := uint64(0)
 	if no.routes != nil {
 		before = no.routes.Version
 	}
+	no.routes = no.succeedRoutes(now, ro)
+	no.onRoutes(now, no.routes)
+	no.metrics.Set("ConfigurationVersion", int64(no.routes.Version))
+	klog.InfoS("Configuration in force", "version", no.routes.Version, "before", before, "read", ro.Version,
+		"addresses", len(no.routes.Addresses), "warmUps", len(no.routes.WarmUps), "source", source)
+	if !no.routes.IsComplete(now) {
+		klog.InfoS("Former services may be unknown; flows are searched at all services", "version", no.routes.Version,
+			"coversFrom", no.routes.From, "before", before, "for", no.routes.CompleteAt.Sub(now).Round(time.Millisecond))
+	}
+}
+
+// succeedRoutes returns the routes to be in force after the given ones were read. It is
+// called with mu held.
+func (no *node) succeedRoutes(now time.Time, ro *catalog.Routes) *catalog.Routes {
 	switch {
-	case ro.Version < before:
-		klog.InfoS("Older configuration ignored", "version", ro.Version, "inForce", before, "source", source)
-		return
-	case ro.Version == before && no.routes != nil:
+	case no.routes == nil:
+		return no.former.Succeed(now, no.recorded.record.Routes(), ro)
+	case ro.Version > no.routes.Version:
+		return no.former.Succeed(now, no.routes, ro)
+	case ro.Version == no.routes.Version:
 		// A member may know more former services of the same version, and the warm-up
 		// limits, which a former build that read it from the store leaves out.
-		no.routes = no.former.Succeed(now, ro, no.routes.WithWarmUpsOf(ro))
-	case no.routes == nil:
-		no.routes = no.former.Succeed(now, no.recorded.record.Routes(), ro)
+		return no.former.Succeed(now, ro, no.routes.WithWarmUpsOf(ro))
 	default:
-		no.routes = no.former.Succeed(now, no.routes, ro)
+		return no.former.Succeed(now, ro, no.routes)
 	}
-	no.onRoutes(now, no.routes)
-	no.metrics.Set("ConfigurationVersion", int64(ro.Version))
-	klog.InfoS("Configuration in force", "version", ro.Version, "before", before,
-		"addresses", len(ro.Addresses), "warmUps", len(no.routes.WarmUps), "source", source)
 }
 
-// publish puts routes from the store in force, if they are newer, and sends them to
-// other members.
-func (no *node) publish(ro *catalog.Routes) {
+// publish puts routes from the store in force, which are given oldest first, if they are
+// newer or name more former services, and sends them to other members.
+func (no *node) publish(list []*catalog.Routes) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	if no.routes != nil && ro.Version == no.routes.Version {
+	now := time.Now()
+	if no.routes != nil && no.routes.Covers(now, list[len(list)-1]) {
 		return
 	}
-	now := time.Now()
-	no.setRoutes(now, ro, "store")
+	newest := len(list) - 1
+	for _, ro := range list[:newest] {
+		klog.InfoS("Configuration read with a newer one", "version", ro.Version, "newer", list[newest].Version)
+		no.routes = no.succeedRoutes(now, ro)
+	}
+	no.setRoutes(now, list[newest], "store")
 	signal(no.servicesChanged)
 	data, err := waybill.EncodeRoutes(no.routes)
 	if err != nil {
-		klog.ErrorS(err, "Configuration not sent to members", "version", ro.Version)
+		klog.ErrorS(err, "Configuration not sent to members", "version", no.routes.Version)
 		return
 	}
-	no.performMemberActions(now, no.view.Publish(ro.Version, data))
+	no.performMemberActions(now, no.view.Publish(no.routes.Version, data, no.routes.From != 0))
 	no.schedule(now)
 }
 
--- a/internal/transport/carrier/servicerecord_test.go
+++ b/internal/transport/carrier/servicerecord_test.go
@@ -34,13 +34,13 @@
 	position := func() Position { return Position{History: rs.history, Revision: rs.routes.Version} }
 	return Store{
 		Routes: func(context.Context) (*catalog.Routes, Position, error) { return rs.routes, position(), nil },
-		Watch: func(ctx context.Context, after Position, deadline time.Time) (*catalog.Routes, Position, error) {
+		Watch: func(ctx context.Context, after Position, deadline time.Time) ([]*catalog.Routes, Position, error) {
 			for after == position() && time.Now().Before(deadline) && sleepContext(ctx, 10*time.Millisecond) {
 			}
 			if after.History != rs.history {
 				return nil, Position{}, errors.Wrap(ErrRevisionExpired, "watch")
 			}
-			return rs.routes, position(), nil
+			return []*catalog.Routes{rs.routes}, position(), nil
 		},
 		Services: func(context.Context) (*catalog.ServiceRecord, uint64, error) {
 			rs.reads++
