fix(carrier): doubt about skipped versions ends with what is read later

Cause: the coverage of routes that a reader had watched without a gap began anew when it filled a gap that a member's routes had left, so that the doubt lasted for another flow's lifetime. A process with incomplete routes also put pages of the same version in force once for each sender, though most are the same bytes.

Change: the coverage of a chain of reads keeps when it is complete, and equal pages of the same version are ignored. "Older configuration ignored" is logged again for routes that add nothing.

carrier.TestSkippedVersionsAreForgottenInTime failed before (after a watch: From:1 instead of complete). TestFlowsOfASkippedVersionAreNotReset has members that skipped the version as well, and members.TestPagesOfTheVersionOfAPartialConfiguration holds the pages.

--- a/internal/coordination/members/assembly.go
+++ b/internal/coordination/members/assembly.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 	"time"
@@ -93,7 +94,7 @@
 
 // collect stores a page of a configuration, and reports the configuration when all pages
 // of one sender are there. Pages of a version that is not newer are ignored, unless the
-// view's own configuration is of that version and partial.
+// view's own configuration is of that version, partial and not the same.
 func (vi *View) collect(now time.Time, from netip.AddrPort, pa *Page) {
 	isNew := pa.Version > vi.version || vi.partial && pa.Version == vi.version
 	if !isNew || pa.Index >= pa.Count || pa.Count > maxPages {
@@ -104,10 +105,14 @@
 		return
 	}
 	vi.assemblies.drop(from)
+	data := slices.Concat(as.pages...)
+	if as.version == vi.version && bytes.Equal(data, vi.data) {
+		return
+	}
 	// One that is refused isn't asked for again and again.
 	vi.nextRequest = now.Add(GreetInterval)
 	vi.actions = append(vi.actions, Action{
-		Kind: KindConfiguration, To: from, Data: slices.Concat(as.pages...), Version: as.version,
+		Kind: KindConfiguration, To: from, Data: data, Version: as.version,
 	})
 }
 
--- a/internal/coordination/members/assembly_test.go
+++ b/internal/coordination/members/assembly_test.go
@@ -145,3 +145,38 @@
 		}
 	})
 }
+
+// A process that had skipped versions ignored what members knew of the same version, and
+// went on without the services that addresses had in them.
+func TestPagesOfTheVersionOfAPartialConfiguration(t *testing.T) {
+	vi := newReceiver()
+	receive := func(letter string) (received []string) {
+		for _, msg := range pagesOf(7, letter, 2) {
+			for _, data := range configurationsIn(vi.Handle(began, addressOf(2), msg)) {
+				received = append(received, string(data[:1]))
+			}
+		}
+		return received
+	}
+	own := func(letter string) (data []byte) {
+		for _, msg := range pagesOf(7, letter, 2) {
+			data = append(data, msg.Page.Data...)
+		}
+		return data
+	}
+	Convey("They are taken while the configuration is partial, unless they are the same", t, func() {
+		vi.Publish(6, []byte("six"), false)
+		vi.Publish(7, own("a"), true)
+		So(receive("a"), ShouldBeEmpty)
+		So(receive("b"), ShouldResemble, []string{"b"})
+		vi.Accept(7, own("b"), false)
+		So(receive("c"), ShouldBeEmpty)
+	})
+	Convey("A complete configuration of the same version replaces a partial one, and is sent to members", t, func() {
+		vi = newReceiver()
+		vi.Publish(7, own("a"), true)
+		vi.Publish(7, own("b"), false)
+		vi.Publish(7, own("c"), true)
+		So(vi.data, ShouldResemble, own("b"))
+	})
+}
--- a/internal/protocol/waybill/healthpaths_test.go
+++ b/internal/protocol/waybill/healthpaths_test.go
@@ -15,15 +15,15 @@
 func TestCoverageReachesMembers(t *testing.T) {
 	ro := &catalog.Routes{Version: 9, Addresses: map[netip.AddrPort]catalog.Route{}, HealthPaths: map[string]string{"a": "/health"}}
 	Convey("The oldest version covered is decoded as it was encoded", t, func() {
-		data, err := EncodeRoutes(ro.CoveringFrom(7))
+		data, err := EncodeRoutes(ro.WithCoverage(catalog.Coverage{From: 7}))
 		So(err, ShouldBeNil)
 		back, err := DecodeRoutes(data)
 		So(err, ShouldBeNil)
-		So(back, ShouldResemble, ro.CoveringFrom(7))
+		So(back, ShouldResemble, ro.WithCoverage(catalog.Coverage{From: 7}))
 		So(ro.HealthPaths, ShouldResemble, map[string]string{"a": "/health"})
 	})
 	Convey("A former build passes it on as the health path of a service that it never meets", t, func() {
-		data, err := EncodeRoutes(ro.CoveringFrom(7))
+		data, err := EncodeRoutes(ro.WithCoverage(catalog.Coverage{From: 7}))
 		So(err, ShouldBeNil)
 		paths := formerRoutes(data)
 		So(paths["a"], ShouldEqual, "/health")
--- a/internal/state/catalog/coverage.go
+++ b/internal/state/catalog/coverage.go
@@ -10,7 +10,7 @@
 	// older one.
 	From uint64
 	// CompleteAt is when the flows that were opened under versions older than From have
-	// ended. It is zero if From is, and in routes that were just read.
+	// ended. It is zero if From is, and in routes of another process.
 	CompleteAt time.Time
 }
 
@@ -54,9 +54,9 @@
 	return other.Version <= ro.Version && (ro.IsComplete(now) || other.From >= ro.From)
 }
 
-// CoveringFrom returns routes that name the services of all versions from the given one on.
-func (ro *Routes) CoveringFrom(version uint64) *Routes {
+// WithCoverage returns the routes with the coverage.
+func (ro *Routes) WithCoverage(co Coverage) *Routes {
 	covering := *ro
-	covering.Coverage = Coverage{From: version}
+	covering.Coverage = co
 	return &covering
 }
--- a/internal/state/catalog/coverage_test.go
+++ b/internal/state/catalog/coverage_test.go
@@ -15,7 +15,7 @@
 	address := netip.MustParseAddrPort("198.18.0.1:443")
 	read := func(version, from uint64, service string) *Routes {
 		ro := &Routes{Version: version, Addresses: map[netip.AddrPort]Route{address: {Services: WeightedServices{{Service: service, Weight: 1}}}}}
-		return ro.CoveringFrom(from)
+		return ro.WithCoverage(Coverage{From: from})
 	}
 	later := func(after time.Duration) time.Time { return began.Add(after) }
 	Convey("Routes that were read first are complete a flow's lifetime later", t, func() {
--- a/internal/state/catalog/former.go
+++ b/internal/state/catalog/former.go
@@ -28,6 +28,12 @@
 	return &FormerServices{lifetime: lifetime, until: make(map[formerService]time.Time)}
 }
 
+// Begin returns the coverage of routes of the version that were just read, and of all that
+// are read after them without skipping a version.
+func (fs *FormerServices) Begin(now time.Time, version uint64) Coverage {
+	return Coverage{From: version, CompleteAt: now.Add(fs.lifetime)}
+}
+
 // Succeed returns the next routes with the former services of their addresses. The
 // previous routes are those that it returned last, nil before the first, or those that
 // another process has of the same version, or older ones that the process didn't have
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -15,9 +15,9 @@
 type routesWatch struct {
 	position Position
 	history  History
-	// from is the oldest version that was read before the position without one being
-	// missed after it, zero if none was.
-	from            uint64
+	// coverage is that of the versions that were read up to the position without skipping
+	// one, the zero value if none was read.
+	coverage        catalog.Coverage
 	failed, expired backoff
 	watching        bool
 }
@@ -129,14 +129,14 @@
 	if rw.position.Revision > 0 {
 		list, next, err = no.store.Watch(ctx, rw.position, deadline)
 	} else {
-		rw.from = 0
+		rw.coverage = catalog.Coverage{}
 		list, next, err = no.listRoutes(ctx)
 	}
 	if err != nil {
 		return next, err
 	}
 	if len(list) > 0 {
-		no.publish(rw.covering(list))
+		no.publish(no.covering(rw, list))
 	}
 	no.confirm(deadline)
 	return next, nil
@@ -158,15 +158,16 @@
 	return []*catalog.Routes{ro}, position, nil
 }
 
-// covering returns the routes, the oldest first, with the versions that were read before
-// each of them without a gap.
-func (rw *routesWatch) covering(list []*catalog.Routes) []*catalog.Routes {
-	if rw.from == 0 {
-		rw.from = list[0].Version
+// covering returns the routes that were read, the oldest first, with their coverage.
+func (no *node) covering(rw *routesWatch, list []*catalog.Routes) []*catalog.Routes {
+	if rw.coverage == (catalog.Coverage{}) {
+		no.mu.Lock()
+		rw.coverage = no.former.Begin(time.Now(), list[0].Version)
+		no.mu.Unlock()
 	}
 	covering := make([]*catalog.Routes, len(list))
 	for i, ro := range list {
-		covering[i] = ro.CoveringFrom(rw.from)
+		covering[i] = ro.WithCoverage(rw.coverage)
 	}
 	return covering
 }
--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -397,10 +397,13 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	now := time.Now()
-	if no.routes != nil && no.routes.Covers(now, list[len(list)-1]) {
+	newest := len(list) - 1
+	if no.routes != nil && no.routes.Covers(now, list[newest]) {
+		if list[newest].Version < no.routes.Version {
+			klog.InfoS("Older configuration ignored", "version", list[newest].Version, "inForce", no.routes.Version)
+		}
 		return
 	}
-	newest := len(list) - 1
 	for _, ro := range list[:newest] {
 		klog.InfoS("Configuration read with a newer one", "version", ro.Version, "newer", list[newest].Version)
 		no.routes = no.succeedRoutes(now, ro)
--- a/internal/transport/carrier/skipped_test.go
+++ b/internal/transport/carrier/skipped_test.go
@@ -12,6 +12,8 @@
 
 	"corneltiller.dev/corneltiller/internal/coordination/absence"
 	"corneltiller.dev/corneltiller/internal/coordination/carriage"
+	"corneltiller.dev/corneltiller/internal/coordination/members"
+	"corneltiller.dev/corneltiller/internal/protocol/waybill"
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 	"corneltiller.dev/corneltiller/internal/state/register"
 )
@@ -24,6 +26,8 @@
 type expiringStore struct {
 	routes  *catalog.Routes
 	expired bool
+	// newer are routes that a watch returns together.
+	newer []*catalog.Routes
 }
 
 func (es *expiringStore) store() Store {
@@ -31,12 +35,16 @@
 	return Store{
 		Routes: func(context.Context) (*catalog.Routes, Position, error) { return es.routes, position(), nil },
 		Watch: func(ctx context.Context, after Position, deadline time.Time) ([]*catalog.Routes, Position, error) {
-			for after == position() && time.Now().Before(deadline) && sleepContext(ctx, 10*time.Millisecond) {
+			for after == position() && len(es.newer) == 0 && time.Now().Before(deadline) && sleepContext(ctx, 10*time.Millisecond) {
 			}
 			if es.expired {
 				es.expired = false
 				return nil, Position{}, errors.Wrap(ErrRevisionExpired, "watch")
 			}
+			if list := es.newer; len(list) > 0 {
+				es.routes, es.newer = list[len(list)-1], nil
+				return list, position(), nil
+			}
 			return []*catalog.Routes{es.routes}, position(), nil
 		},
 	}
@@ -80,40 +88,126 @@
 	return reset, found
 }
 
+// skipping is a balancer's node and placer that have had version 1, which gives the address to
+// yardline, for longer than a flow lasts.
+type skipping struct {
+	*node
+	placer *carriage.Placer
+	agents map[netip.AddrPort]string
+	stop   func()
+}
+
+// newSkipping returns a skipping that follows the store until stop is called.
+func newSkipping(t *testing.T, es *expiringStore) *skipping {
+	t.Helper()
+	sk := &skipping{node: openNode(t, es.store()), agents: map[netip.AddrPort]string{
+		netip.MustParseAddrPort("127.0.0.1:11"): "yardline",
+		netip.MustParseAddrPort("127.0.0.1:12"): "ledgerwash",
+	}}
+	sk.former = catalog.NewFormerServices(skippedLifetime)
+	sk.placer = carriage.NewPlacer(time.Now(), carriage.PlacerSettings{Domain: "a", OpeningTimeout: time.Second, FlowLifetime: skippedLifetime})
+	sk.onRoutes = func(now time.Time, ro *catalog.Routes) { sk.placer.SetRoutes(now, ro) }
+	for address, service := range sk.agents {
+		sk.placer.SetAgent(time.Now(), carriage.Agent{Address: address, Service: service, Domain: "a", State: register.StateReady, Slots: 2})
+	}
+	sk.placer.MembersListed(time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- sk.followRoutes(ctx) }()
+	sk.stop = func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(skippedLifetime + time.Second)
+	return sk
+}
+
+// receive handles routes that a member has sent.
+func (sk *skipping) receive(t *testing.T, ro *catalog.Routes) {
+	t.Helper()
+	data, err := waybill.EncodeRoutes(ro)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sk.mu.Lock()
+	defer sk.mu.Unlock()
+	sk.handleRoutes(time.Now(), members.Action{Kind: members.KindConfiguration, Version: ro.Version, Data: data})
+}
+
 // Living flows were reset by a balancer that had skipped the version under which they were
 // opened: it asked the agents of the services that it knew of, and no others.
 func TestFlowsOfASkippedVersionAreNotReset(t *testing.T) {
-	agents := map[netip.AddrPort]string{
-		netip.MustParseAddrPort("127.0.0.1:11"): "yardline",
-		netip.MustParseAddrPort("127.0.0.1:12"): "ledgerwash",
+	cases := []struct {
+		name string
+		skip func(t *testing.T, sk *skipping, es *expiringStore)
+	}{
+		{name: "as the store's history has expired", skip: func(_ *testing.T, _ *skipping, es *expiringStore) {
+			es.expired = true
+			es.routes = sharedRoutes(3, "yardline")
+		}},
+		{name: "as a member that has skipped it too has sent the next one", skip: func(t *testing.T, sk *skipping, _ *expiringStore) {
+			sk.receive(t, sharedRoutes(3, "yardline").WithCoverage(catalog.Coverage{From: 3}))
+		}},
+		{name: "as a member that knows all services has sent the next one", skip: func(t *testing.T, sk *skipping, _ *expiringStore) {
+			ro := sharedRoutes(3, "yardline", "ledgerwash")
+			ro.Addresses[recordedAddress].Services[1].Weight = 0
+			sk.receive(t, ro)
+		}},
+	}
+	for _, tc := range cases {
+		Convey("A flow that was opened under a version that the balancer has skipped is found, "+tc.name, t, func() {
+			synctest.Test(t, func(t *testing.T) {
+				es := &expiringStore{routes: sharedRoutes(1, "yardline")}
+				sk := newSkipping(t, es)
+				tc.skip(t, sk, es)
+				time.Sleep(4 * time.Second)
+				reset, found := search(sk.placer, sk.agents)
+				sk.stop()
+				if reset || !found {
+					t.Errorf("reset: %t, found: %t", reset, found)
+				}
+			})
+		})
 	}
-	Convey("A flow that was opened under a version between two that the balancer has read is found", t, func() {
+}
+
+// Without an end of the doubt each search would ask the agents of all services for ever.
+func TestSkippedVersionsAreForgottenInTime(t *testing.T) {
+	Convey("Routes are complete again once the flows of the skipped versions have ended", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			es := &expiringStore{routes: sharedRoutes(1, "yardline")}
-			no := openNode(t, es.store())
-			no.former = catalog.NewFormerServices(skippedLifetime)
-			pl := carriage.NewPlacer(time.Now(), carriage.PlacerSettings{Domain: "a", OpeningTimeout: time.Second, FlowLifetime: skippedLifetime})
-			no.onRoutes = func(now time.Time, ro *catalog.Routes) { pl.SetRoutes(now, ro) }
-			for address, service := range agents {
-				pl.SetAgent(time.Now(), carriage.Agent{Address: address, Service: service, Domain: "a", State: register.StateReady, Slots: 2})
-			}
-			pl.MembersListed(time.Now())
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 1)
-			go func() { ended <- no.followRoutes(ctx) }()
-			time.Sleep(skippedLifetime + time.Second)
-			// Version 2 gives the address to ledgerwash, and version 3 takes it back.
+			sk := newSkipping(t, es)
 			es.expired = true
 			es.routes = sharedRoutes(3, "yardline")
-			time.Sleep(4 * time.Second)
-			reset, found := search(pl, agents)
-			cancel()
-			if err := <-ended; err != nil {
-				t.Fatal(err)
-			}
-			if reset || !found {
+			time.Sleep(skippedLifetime + 4*time.Second)
+			reset, found := search(sk.placer, sk.agents)
+			sk.stop()
+			if !reset || found {
 				t.Errorf("reset: %t, found: %t", reset, found)
 			}
 		})
 	})
+	Convey("So they are once the store returns them in a watch, or a member names all services", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			es := &expiringStore{routes: sharedRoutes(1, "yardline")}
+			sk := newSkipping(t, es)
+			sk.receive(t, sharedRoutes(3, "yardline").WithCoverage(catalog.Coverage{From: 3}))
+			if sk.routes.IsComplete(time.Now()) {
+				t.Error("complete after a skipped version")
+			}
+			es.newer = []*catalog.Routes{sharedRoutes(2, "ledgerwash"), sharedRoutes(3, "yardline")}
+			time.Sleep(time.Second)
+			if !sk.routes.IsComplete(time.Now()) || !sk.routes.Addresses[recordedAddress].Services.Names("ledgerwash") {
+				t.Errorf("after a watch: %+v", sk.routes)
+			}
+			sk.receive(t, sharedRoutes(5, "yardline").WithCoverage(catalog.Coverage{From: 5}))
+			sk.receive(t, sharedRoutes(5, "yardline"))
+			if !sk.routes.IsComplete(time.Now()) {
+				t.Errorf("after a member: %+v", sk.routes)
+			}
+			sk.stop()
+		})
+	})
 }
