fix(carrier): a reserve's pause before it reads the store doesn't grow over its life

Cause: a balancer that doesn't always watch the store reads it when nobody confirms its configuration. Its last position has expired by then, it lists, and waits for the others again. Each expiry counted as one more in a row, since only a watch that succeeds ended the count, and such a balancer makes none. From the second time on it paused, from the fourth one for 1 to 2 s on top of the 2 s without a confirmation. Class: a count of failures in a row that goes on while nothing is tried.

Change: the state of a loop that reads the store (position, failures, expiries in a row) is one type, reading. While the store isn't read the counts rest at zero: what happened in the last episode says nothing about the store in the next. The log of an expiry says how many came in a row.

The same cause elsewhere: the reader of the evacuations had the same count, and besides gave up a list that was due once the routes' reader had confirmed the configuration; an evacuation made meanwhile wasn't read until the next silence of the regular watchers. The count of failed calls of both loops went on in the same way. Looked at and found to end: ejections, pings of silent agents, rollout's reads and catch-ups, the store circuit of the own interface, reviews of entries, writes of the service record.

--- a/internal/transport/carrier/evacuations.go
+++ b/internal/transport/carrier/evacuations.go
@@ -19,14 +19,17 @@
 // watch the store is to watch the evacuations: others may have left.
 const evacuationsCheck = 500 * time.Millisecond
 
-// evacuationsWatch is the state of followEvacuations: the position to watch from, the
-// domains that the store holds there, the history that the last set in force was read in,
-// and the failures since then.
+// evacuationsWatch is the state of followEvacuations: that of its reading, the domains that
+// the store holds at the position, and the history that the last set in force was read in.
 type evacuationsWatch struct {
-	position        Position
-	domains         map[string]struct{}
-	history         History
-	failed, expired backoff
+	reading
+	domains map[string]struct{}
+	history History
+}
+
+// rereads reports whether the position has expired and the evacuations weren't read since.
+func (ew *evacuationsWatch) rereads() bool {
+	return ew.position.Revision == 0 && ew.expired.failures > 0
 }
 
 // followEvacuations reads the evacuated domains from the store, and then watches it for
@@ -35,18 +38,19 @@
 func (no *node) followEvacuations(ctx context.Context) error {
 	var ew evacuationsWatch
 	for ctx.Err() == nil {
-		if pause := no.evacuationsPause(); pause > 0 {
+		if pause := no.evacuationsPause(); pause > 0 && !ew.rereads() {
+			ew.rest()
 			sleepContext(ctx, pause)
 			continue
 		}
-		began := time.Now()
+		began, failures := time.Now(), ew.failed.failures
 		err := no.fetchEvacuations(ctx, &ew, began)
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrRevisionExpired):
-			klog.InfoS("Revision expired in the store; reading the evacuations again", "position", ew.position, "reason", err)
-			ew.position = Position{}
-			ew.expired.waitAfterFirst(ctx, began, maxBackoff)
+			klog.InfoS("Revision expired in the store; reading the evacuations again", "position", ew.position,
+				"inARow", ew.expired.failures+1, "reason", err)
+			ew.expire(ctx, began)
 		case err != nil:
 			no.metrics.Count("EvacuationReadsFailed", 1)
 			if ew.failed.failures == 0 {
@@ -54,10 +58,9 @@
 			}
 			ew.failed.wait(ctx, began, no.evacuationsRetryPause())
 		default:
-			if ew.failed.failures > 0 {
-				klog.InfoS("Evacuations read again", "failures", ew.failed.failures, "position", ew.position)
+			if failures > 0 {
+				klog.InfoS("Evacuations read again", "failures", failures, "position", ew.position)
 			}
-			ew.failed.failures = 0
 		}
 	}
 	return nil
@@ -102,7 +105,7 @@
 		for _, name := range names {
 			ew.domains[name] = struct{}{}
 		}
-		ew.position = next
+		ew.advance(next)
 		no.publishEvacuations(ew)
 		if next.Revision == 0 {
 			// Nothing was written yet, so there is no revision to watch from.
@@ -118,8 +121,7 @@
 	if err != nil {
 		return err
 	}
-	ew.expired.failures = 0
-	ew.position = next
+	ew.advance(next)
 	if len(changes) == 0 {
 		return nil
 	}
--- a/internal/transport/carrier/follow.go
+++ b/internal/transport/carrier/follow.go
@@ -10,16 +10,15 @@
 	"corneltiller.dev/corneltiller/internal/state/catalog"
 )
 
-// routesWatch is the state of followRoutes: the position to watch from, the history of
-// the last answer, the failures since then, and whether the store is watched.
+// routesWatch is the state of followRoutes: that of its reading, the history of the last
+// answer, and whether the store is watched.
 type routesWatch struct {
-	position Position
-	history  History
+	reading
+	history History
 	// coverage is that of the versions that were read up to the position without skipping
 	// one, the zero value if none was read.
-	coverage        catalog.Coverage
-	failed, expired backoff
-	watching        bool
+	coverage catalog.Coverage
+	watching bool
 }
 
 // followRoutes reads the routes from the store, and then watches it for newer ones
@@ -29,6 +28,7 @@
 	var rw routesWatch
 	for ctx.Err() == nil {
 		if watches, next := no.checkWatch(&rw); !watches && rw.position.Revision > 0 {
+			rw.rest()
 			sleepContext(ctx, time.Until(next))
 			continue
 		}
@@ -37,7 +37,9 @@
 		switch {
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrRevisionExpired):
-			no.expirePosition(ctx, &rw, began, err)
+			klog.InfoS("Revision expired in the store; reading the configuration again", "position", rw.position,
+				"inARow", rw.expired.failures+1, "reason", err)
+			rw.expire(ctx, began)
 		case err != nil:
 			no.reportStoreFailure(err, &rw.failed)
 			rw.failed.wait(ctx, began, no.retryPause())
@@ -58,29 +60,18 @@
 	return no.view.WatchDeadline(now)
 }
 
-// expirePosition makes followRoutes read the routes again: at once the first time,
-// after a pause if the position expires again before a watch has succeeded.
-func (no *node) expirePosition(ctx context.Context, rw *routesWatch, began time.Time, reason error) {
-	klog.InfoS("Revision expired in the store; reading the configuration again", "position", rw.position, "reason", reason)
-	rw.position = Position{}
-	rw.expired.waitAfterFirst(ctx, began, maxBackoff)
-}
-
 // advancePosition takes over the position of an answer. If it belongs to another
 // history than the last, the entries and the service record in the store may have changed.
 func (no *node) advancePosition(rw *routesWatch, next Position) {
 	if rw.failed.failures > 0 {
 		klog.InfoS("Store regained", "failures", rw.failed.failures, "before", rw.position, "now", next)
 	}
-	if rw.position.Revision > 0 {
-		rw.expired.failures = 0
-	}
 	if rw.history != next.History && rw.history != (History{}) {
 		signal(no.entriesDoubtful)
 		no.doubtServices()
 	}
-	rw.failed.failures = 0
-	rw.position, rw.history = next, next.History
+	rw.advance(next)
+	rw.history = next.History
 }
 
 // retryPause returns the longest pause before the next attempt. It is short while
