fix(carrier): former services are kept until flows of slower balancers have ended too

Cause: the services of an older version, and the doubt about a skipped one, ended a flow's lifetime after the process had read the next version. Another balancer may open flows under the older one for 3 s more, the time by which a change is in force everywhere, and these were reset in the last seconds of their life.

Change: the lifetime of former services includes those 3 s.

carrier.TestLateFlowsOfASkippedVersionAreNotReset failed before ("reset: true").

--- a/internal/transport/carrier/node.go
+++ b/internal/transport/carrier/node.go
@@ -31,6 +31,9 @@
 	// readHeaderTimeout bounds how long a client may take to send the header of an
 	// HTTP request.
 	readHeaderTimeout = 2 * time.Second
+	// inForceWithin is the time after its acknowledgement by which all processes apply a
+	// change of the configuration.
+	inForceWithin = 3 * time.Second
 )
 
 // node is the part that balancers and agents share: the view of the members, the
@@ -116,7 +119,7 @@
 	}
 	no := &node{
 		settings: st, store: sr, metrics: rg, peerConn: peerConn, started: now,
-		former: catalog.NewFormerServices(time.Duration(st.FlowLifetime)),
+		former: newFormerServices(time.Duration(st.FlowLifetime)),
 		view: members.NewView(members.Record{
 			Revision: register.Revision{Incarnation: uint64(now.UnixMilli())},
 			Address:  st.Peers, Role: role, Domain: st.Domain,
@@ -133,6 +136,12 @@
 	return no, nil
 }
 
+// newFormerServices returns a FormerServices for flows of the lifetime, which may be opened
+// until all processes apply the routes that end them.
+func newFormerServices(lifetime time.Duration) *catalog.FormerServices {
+	return catalog.NewFormerServices(lifetime + inForceWithin)
+}
+
 // listenUDP opens a UDP socket. An error is wrapped with the address.
 func listenUDP(address netip.AddrPort) (*net.UDPConn, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
--- a/internal/transport/carrier/reserve_test.go
+++ b/internal/transport/carrier/reserve_test.go
@@ -26,9 +26,9 @@
 	reserveSilence = 3500 * time.Millisecond
 	// reserveRoundTrip is the time that the store takes for an answer.
 	reserveRoundTrip = 5 * time.Millisecond
-	// inForceWithin is the time after its acknowledgement by which a configuration has to be
-	// in force.
-	inForceWithin = 3 * time.Second
+	// reserveBound is the time after its acknowledgement by which a configuration has to be in
+	// force.
+	reserveBound = 3 * time.Second
 )
 
 // episodes is a store whose configuration and evacuations change whenever the regular watchers
@@ -136,7 +136,7 @@
 					return
 				}
 				applied++
-				if took := now.Sub(ep.changedAt(ro.Version - 1)); took > inForceWithin {
+				if took := now.Sub(ep.changedAt(ro.Version - 1)); took > reserveBound {
 					t.Errorf("episode %d: in force %s after the change", ro.Version-1, took)
 				}
 			}
--- a/internal/transport/carrier/skipped_test.go
+++ b/internal/transport/carrier/skipped_test.go
@@ -104,7 +104,7 @@
 		netip.MustParseAddrPort("127.0.0.1:11"): "yardline",
 		netip.MustParseAddrPort("127.0.0.1:12"): "ledgerwash",
 	}}
-	sk.former = catalog.NewFormerServices(skippedLifetime)
+	sk.former = newFormerServices(skippedLifetime)
 	sk.placer = carriage.NewPlacer(time.Now(), carriage.PlacerSettings{Domain: "a", OpeningTimeout: time.Second, FlowLifetime: skippedLifetime})
 	sk.onRoutes = func(now time.Time, ro *catalog.Routes) { sk.placer.SetRoutes(now, ro) }
 	for address, service := range sk.agents {
@@ -120,7 +120,7 @@
 			t.Fatal(err)
 		}
 	}
-	time.Sleep(skippedLifetime + time.Second)
+	time.Sleep(skippedLifetime + inForceWithin + time.Second)
 	return sk
 }
 
@@ -173,6 +173,25 @@
 	}
 }
 
+// A flow that a slower balancer had opened under the skipped version was reset within the last
+// seconds of its lifetime.
+func TestLateFlowsOfASkippedVersionAreNotReset(t *testing.T) {
+	Convey("The doubt lasts for a flow's lifetime from when the last process applies a change", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			es := &expiringStore{routes: sharedRoutes(1, "yardline")}
+			sk := newSkipping(t, es)
+			es.expired = true
+			es.routes = sharedRoutes(3, "yardline")
+			time.Sleep(skippedLifetime + 2*time.Second)
+			reset, found := search(sk.placer, sk.agents)
+			sk.stop()
+			if reset || !found {
+				t.Errorf("reset: %t, found: %t", reset, found)
+			}
+		})
+	})
+}
+
 // Without an end of the doubt each search would ask the agents of all services for ever.
 func TestSkippedVersionsAreForgottenInTime(t *testing.T) {
 	Convey("Routes are complete again once the flows of the skipped versions have ended", t, func() {
