fix(carriage): no reset before the routes are known to be the newest

What callers would have seen: a balancer whose regular watchers have fallen silent has the former version for up to 2 s more. It reset a flow that another failure domain's balancer had opened under a newer version, at another service's host which lives.

Cause: a version counted as the newest until a newer one was heard of.

Change: a search remembers when the flow's first packet came. Until the store is known to have had no newer version since then, the agents of all services are asked, as with incomplete routes. The line of a reset tells the age of the confirmation.

Ruled out: waiting in any case (up to 1.9 s of silence for callers of lost flows), a store call for each search (its rates), and asking the watchers more often (shorter, not zero).

carrier.TestFlowsOfAVersionThatIsNotReadYetAreNotReset fails without the guard ("reset: true, found: false").

--- a/internal/coordination/carriage/early.go
+++ b/internal/coordination/carriage/early.go
@@ -141,7 +141,7 @@
 func (pl *Placer) askEarly(now time.Time, ec *earlyCheck) {
 	tf := ec.flow
 	if ec.search == nil {
-		ec.search = &search{turn: -1, early: true, acknowledged: tf.acknowledged}
+		ec.search = &search{turn: -1, early: true, began: now, acknowledged: tf.acknowledged}
 		tf.search = ec.search
 	}
 	ec.asked++
@@ -150,7 +150,7 @@
 		pl.sendQuestion(now, tf, ec.agent)
 		return
 	}
-	for _, ag := range pl.mayHold(now, tf.flow) {
+	for _, ag := range pl.mayHold(now, tf) {
 		if !ec.search.absent.Has(ag.number) {
 			pl.sendQuestion(now, tf, ag)
 		}
--- a/internal/coordination/carriage/placer.go
+++ b/internal/coordination/carriage/placer.go
@@ -54,6 +54,8 @@
 	// yet.
 	startup time.Time
 	routes  *catalog.Routes
+	// confirmed is PlacerSettings.Confirmed.
+	confirmed func() time.Time
 	// evacuations are the failure domains whose agents get no openings; awaitsEvacuations
 	// says that none were set and openings wait for them.
 	evacuations       evacuation.Set
@@ -105,6 +107,9 @@
 	ByRemainingWork bool
 	// AwaitEvacuations makes openings wait until SetEvacuations was called.
 	AwaitEvacuations bool
+	// Confirmed returns the latest time at which the routes are known to have been the
+	// newest. Nil stands for routes that always are.
+	Confirmed func() time.Time
 }
 
 // NewPlacer returns the Placer of a balancer that starts now.
@@ -120,6 +125,7 @@
 		medians: make(map[string]medianTime), bases: newBases(st.ByRemainingWork),
 		flows:   newRecent[*trackedFlow](),
 		parking: newParking(st.OpeningTimeout), awaitsEvacuations: st.AwaitEvacuations,
+		confirmed: st.Confirmed,
 	}
 }
 
--- a/internal/coordination/carriage/proof.go
+++ b/internal/coordination/carriage/proof.go
@@ -43,10 +43,10 @@
 // host has checked out need not answer. One that does, and doesn't say Absent, has a host
 // that has started since. It returns the number of agents of which that was proved.
 func (pl *Placer) provedAbsent(now time.Time, tf *trackedFlow) (agents int, proved bool) {
-	if !pl.viewComplete(now) {
+	if !pl.viewComplete(now) || pl.awaitsConfirmation(tf) {
 		return 0, false
 	}
-	list := pl.mayHold(now, tf.flow)
+	list := pl.mayHold(now, tf)
 	for _, ag := range list {
 		// A check-out may have been another writer's, so that early checks ask the agent.
 		gone := ag.report.State == register.StateGone && !tf.search.early && !tf.search.answered.Has(ag.number)
@@ -104,9 +104,9 @@
 
 // mayHold returns the agents whose hosts may hold the flow, as far as the balancer knows
 // without their answers.
-func (pl *Placer) mayHold(now time.Time, flow Flow) []*agent {
-	local, remote := pl.possibleAgents(flow)
-	return append(append(local, remote...), pl.agentsOfOtherServices(now, flow)...)
+func (pl *Placer) mayHold(now time.Time, tf *trackedFlow) []*agent {
+	local, remote := pl.possibleAgents(tf.flow)
+	return append(append(local, remote...), pl.agentsOfOtherServices(now, tf)...)
 }
 
 // possibleAgents returns the agents whose hosts may hold the flow, those of the
@@ -139,14 +139,18 @@
 }
 
 // agentsOfOtherServices returns the agents of the services that the flow's address is not
-// known to have had, while the balancer runs for less than a flow's lifetime or has missed
-// a version of the routes within it. It returns none if the address has no route, as
-// possibleAgents returns all then.
-func (pl *Placer) agentsOfOtherServices(now time.Time, flow Flow) []*agent {
-	if pl.routes == nil || now.Sub(pl.started) >= pl.lifetime && pl.routes.IsComplete(now) {
+// known to have had, while the balancer runs for less than a flow's lifetime, has missed a
+// version of the routes within it, or may not have the version yet under which the flow was
+// opened. It returns none if the address has no route, as possibleAgents returns all then.
+func (pl *Placer) agentsOfOtherServices(now time.Time, tf *trackedFlow) []*agent {
+	if pl.routes == nil {
 		return nil
 	}
-	ro, ok := pl.routes.Addresses[flow.Service]
+	knowsFormer := now.Sub(pl.started) >= pl.lifetime && pl.routes.IsComplete(now)
+	if knowsFormer && (pl.isConfirmed(tf) || pl.awaitsConfirmation(tf)) {
+		return nil
+	}
+	ro, ok := pl.routes.Addresses[tf.flow.Service]
 	if !ok {
 		return nil
 	}
@@ -160,6 +164,26 @@
 	return list
 }
 
+// isConfirmed reports whether the routes are known to have been the newest since the search
+// for the flow began. Before that a version may exist that the balancer doesn't have yet,
+// and the flow may have been opened under it.
+func (pl *Placer) isConfirmed(tf *trackedFlow) bool {
+	return pl.confirmed == nil || tf.search == nil || !pl.confirmed().Before(tf.search.began)
+}
+
+// awaitsConfirmation reports whether the absence of the flow can't be proved before the
+// routes are confirmed, as the address lacks too many agents to ask all of them meanwhile.
+func (pl *Placer) awaitsConfirmation(tf *trackedFlow) bool {
+	if pl.isConfirmed(tf) {
+		return false
+	}
+	others := len(pl.agents)
+	for _, ws := range pl.routes.Addresses[tf.flow.Service].Services {
+		others -= len(pl.pools[ws.Service])
+	}
+	return others > maxAskedAtOnce
+}
+
 // sortByAddress sorts agents of several services, which are collected in the random order
 // of a map.
 func sortByAddress(list []*agent) {
--- a/internal/coordination/carriage/search.go
+++ b/internal/coordination/carriage/search.go
@@ -49,9 +49,8 @@
 	roundLocal
 	// roundRemote asks the agents of the other failure domains.
 	roundRemote
-	// roundOtherServices asks the agents of all other services, while the balancer runs for
-	// less than a flow's lifetime: it may not know a service that the flow's address had
-	// before its start.
+	// roundOtherServices asks the agents of all other services, while the balancer may not
+	// know a service that the flow's address has or had.
 	roundOtherServices
 	// roundTryAll sends the packet to the hosts that possibly hold the flow, and then to
 	// those that are unlikely to.
@@ -83,7 +82,9 @@
 type search struct {
 	round round
 	// early says that this is the check of a flow that isn't in use.
-	early        bool
+	early bool
+	// began is when the first search for the flow began.
+	began        time.Time
 	acknowledged uint32
 	buffered     [][]byte
 	// absent are the agents that have said that their hosts don't hold the flow. It is
@@ -182,7 +183,7 @@
 func (pl *Placer) restartSearch(now time.Time, tf *trackedFlow, pk Packet, data []byte) {
 	former := tf.search
 	pl.leaveTurns(tf)
-	tf.search = &search{turn: -1}
+	tf.search = &search{turn: -1, began: now}
 	if se := tf.search; former != nil && (former.asked == 0 || near(former.acknowledged, pk.Acknowledged)) {
 		se.absent, se.excluded, se.tried, se.asked = former.absent, former.excluded, former.tried, former.asked
 		se.declined = former.declined
@@ -190,6 +191,9 @@
 		if now.Before(former.possibleUntil) {
 			se.keepPossible(former)
 		}
+		if near(former.acknowledged, pk.Acknowledged) {
+			se.began = former.began
+		}
 	}
 	tf.search.acknowledged = pk.Acknowledged
 	tf.phase = phaseSearching
@@ -223,7 +227,7 @@
 	se := tf.search
 	tf.phase = phaseLost
 	tf.search = &search{
-		acknowledged: se.acknowledged, absent: se.absent, excluded: se.excluded, declined: se.declined,
+		began: se.began, acknowledged: se.acknowledged, absent: se.absent, excluded: se.excluded, declined: se.declined,
 		answered: se.answered, tried: se.tried, triedPackets: se.triedPackets, asked: se.asked, turn: -1,
 		resumes: now.Add(lostPause),
 	}
@@ -261,7 +265,7 @@
 	case roundRemote:
 		_, list = pl.possibleAgents(tf.flow)
 	case roundOtherServices:
-		list = pl.agentsOfOtherServices(now, tf.flow)
+		list = pl.agentsOfOtherServices(now, tf)
 	case roundConfirm:
 		list = slices.Clone(se.declined)
 	}
--- a/internal/coordination/carriage/tentative.go
+++ b/internal/coordination/carriage/tentative.go
@@ -101,7 +101,7 @@
 func (pl *Placer) tryNext(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
 	if se.round == roundTryAll && !se.complete {
-		list := pl.mayHold(now, tf.flow)
+		list := pl.mayHold(now, tf)
 		se.complete = pl.haveAnswered(now, se, list)
 		se.reachesHolder = se.complete && se.reachesAll(list)
 	}
@@ -144,7 +144,7 @@
 // messages and leaves as many hosts to try.
 func (pl *Placer) restartedTogether(now time.Time, tf *trackedFlow) bool {
 	se := tf.search
-	if len(pl.mayHold(now, tf.flow)) <= askedBeforeTries {
+	if len(pl.mayHold(now, tf)) <= askedBeforeTries {
 		return false
 	}
 	list := pl.candidateAgents(tf.flow)
--- a/internal/coordination/carriage/trackedflow.go
+++ b/internal/coordination/carriage/trackedflow.go
@@ -147,7 +147,7 @@
 // packet of the flow. Its host may have got the packet.
 func (tf *trackedFlow) excludeAgent(now time.Time, ag *agent) {
 	if tf.search == nil {
-		tf.search = &search{turn: -1}
+		tf.search = &search{turn: -1, began: now}
 	}
 	tf.search.exclude(ag)
 	tf.search.notePacketTried(now)
--- a/internal/transport/carrier/balancer.go
+++ b/internal/transport/carrier/balancer.go
@@ -79,6 +79,7 @@
 		Domain: co.Settings.Domain, OpeningTimeout: co.OpeningTimeout, FlowLifetime: time.Duration(co.Settings.FlowLifetime),
 		ByRemainingWork:  co.Settings.ByRemainingWork(),
 		AwaitEvacuations: no.evacuations != nil,
+		Confirmed:        no.view.Confirmed,
 	})}
 	no.onDeadline = func(now time.Time) { ba.performFlowActions(now, ba.placer.Tick(now)) }
 	no.deadline = ba.placer.Deadline
@@ -260,7 +261,7 @@
 		case carriage.KindForward:
 			ba.forward(now, ac)
 		case carriage.KindReset:
-			ba.sendReset(ac)
+			ba.sendReset(now, ac)
 		case carriage.KindDrop:
 			ba.metrics.Count("Dropped."+ac.Reason.String(), 1)
 			klog.InfoS("Packet dropped", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening)
@@ -343,10 +344,10 @@
 }
 
 // sendReset sends a reset to the caller: its opening is refused or its flow is lost.
-func (ba *Balancer) sendReset(ac *carriage.Action) {
+func (ba *Balancer) sendReset(now time.Time, ac *carriage.Action) {
 	ba.metrics.Count("Refused."+ac.Reason.String(), 1)
 	klog.InfoS("Flow reset", "flow", ac.Flow, "reason", ac.Reason, "opening", ac.Opening, "version", ba.view.Version(),
-		"acknowledged", ac.Acknowledged, "absentAtAgents", ac.Agents)
+		"confirmed", reportAge(now, ba.view.Confirmed()), "acknowledged", ac.Acknowledged, "absentAtAgents", ac.Agents)
 	to := netip.AddrPortFrom(ac.Flow.Caller.Addr(), ba.settings.Callers.Port())
 	if _, err := ba.callerConn.WriteToUDPAddrPort(ba.config.Codec.EncodeReset(ac.Flow, ac.Acknowledged), to); err != nil {
 		klog.ErrorS(err, "Reset not sent", "flow", ac.Flow)
--- a/internal/transport/carrier/skipped_test.go
+++ b/internal/transport/carrier/skipped_test.go
@@ -94,7 +94,9 @@
 	*node
 	placer *carriage.Placer
 	agents map[netip.AddrPort]string
-	stop   func()
+	// confirmed is when the routes were last known to be the newest, zero if they always are.
+	confirmed time.Time
+	stop      func()
 }
 
 // newSkipping returns a skipping that follows the store until stop is called.
@@ -105,7 +107,12 @@
 		netip.MustParseAddrPort("127.0.0.1:12"): "ledgerwash",
 	}}
 	sk.former = newFormerServices(skippedLifetime)
-	sk.placer = carriage.NewPlacer(time.Now(), carriage.PlacerSettings{Domain: "a", OpeningTimeout: time.Second, FlowLifetime: skippedLifetime})
+	sk.placer = carriage.NewPlacer(time.Now(), carriage.PlacerSettings{Domain: "a", OpeningTimeout: time.Second, FlowLifetime: skippedLifetime, Confirmed: func() time.Time {
+		if sk.confirmed.IsZero() {
+			return time.Now()
+		}
+		return sk.confirmed
+	}})
 	sk.onRoutes = func(now time.Time, ro *catalog.Routes) { sk.placer.SetRoutes(now, ro) }
 	for address, service := range sk.agents {
 		sk.placer.SetAgent(time.Now(), carriage.Agent{Address: address, Service: service, Domain: "a", State: register.StateReady, Slots: 2})
@@ -192,6 +199,47 @@
 	})
 }
 
+// A flow that had been opened under a version which the balancer didn't have yet, as the
+// regular watchers had just fallen silent, was reset.
+func TestFlowsOfAVersionThatIsNotReadYetAreNotReset(t *testing.T) {
+	play := func(t *testing.T, others int) (reset, found bool) {
+		sk := newSkipping(t, &expiringStore{routes: sharedRoutes(1, "yardline")})
+		for i := range others {
+			sk.placer.SetAgent(time.Now(), carriage.Agent{
+				Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), uint16(1+i)), Service: "others", Domain: "a", State: register.StateReady, Slots: 2,
+			})
+		}
+		sk.confirmed = time.Now().Add(-time.Millisecond)
+		reset, found = search(sk.placer, sk.agents)
+		sk.stop()
+		return reset, found
+	}
+	Convey("A flow is searched at all services until the routes are confirmed", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			if reset, found := play(t, 0); reset || !found {
+				t.Errorf("reset: %t, found: %t", reset, found)
+			}
+		})
+	})
+	Convey("Where these are too many agents to be asked, it is not reset before", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			if reset, _ := play(t, 500); reset {
+				t.Error("reset before the routes were confirmed")
+			}
+		})
+	})
+	Convey("Once the routes are confirmed it is reset", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			sk := newSkipping(t, &expiringStore{routes: sharedRoutes(1, "yardline")})
+			sk.confirmed = time.Now()
+			if reset, found := search(sk.placer, sk.agents); !reset || found {
+				t.Errorf("reset: %t, found: %t", reset, found)
+			}
+			sk.stop()
+		})
+	})
+}
+
 // Without an end of the doubt each search would ask the agents of all services for ever.
 func TestSkippedVersionsAreForgottenInTime(t *testing.T) {
 	Convey("Routes are complete again once the flows of the skipped versions have ended", t, func() {
