fix(catalog): former services end by the version that took them, not by the first time known

What callers would have seen: the reset of a living flow at a service that its address had had twice, once in versions that the balancer has seen and once in ones that it got from a member only.

Cause: when the flows of a former service have ended was kept by address and service. A member that named the service because the address had had it again was answered with the time of the earlier turn, which had passed or passed too soon.

Change: routes know by which version an address has lost each former service, and tell it to other processes in the way that former builds pass on. A later version begins the time anew, the same one doesn't, so that processes which hear of a service from each other don't keep it for ever. Ruled out: beginning anew with each message, which does.

--- a/internal/protocol/waybill/healthpaths_test.go
+++ b/internal/protocol/waybill/healthpaths_test.go
@@ -44,3 +44,45 @@
 		}
 	})
 }
+
+// A member that can't tell when an address has lost a service drops it while its flows may
+// be open, or keeps it for ever.
+func TestVersionsOfFormerServicesReachMembers(t *testing.T) {
+	addresses := []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:443")}
+	ro := &catalog.Routes{
+		Version: 97, HealthPaths: map[string]string{"a": "/health"},
+		Addresses: map[netip.AddrPort]catalog.Route{
+			addresses[0]: {Services: catalog.WeightedServices{{Service: "a", Weight: 1}, {Service: "b"}, {Service: "c"}}},
+			addresses[1]: {Services: catalog.WeightedServices{{Service: "c"}, {Service: "a", Weight: 1}}},
+		},
+		Former: map[catalog.FormerService]uint64{
+			{Address: addresses[0], Service: "b"}: 90, {Address: addresses[0], Service: "c"}: 95, {Address: addresses[1], Service: "c"}: 90,
+		},
+	}
+	Convey("They are decoded as they were encoded", t, func() {
+		data, err := EncodeRoutes(ro)
+		So(err, ShouldBeNil)
+		So(formerRoutes(data)[formerKey], ShouldEqual, "2i:0.1,1.0;2n:0.2")
+		back, err := DecodeRoutes(data)
+		So(err, ShouldBeNil)
+		So(back, ShouldResemble, ro)
+	})
+	Convey("Those of the version itself aren't told, and what is not valid is left out", t, func() {
+		for _, text := range []string{"", "x", "2i", "2i:", "2i:0", "2i:0.", "2i:.1", "2i:-1.1", "2i:0.0", "2i:9.9", "2i:0.zzzzzzzzz", ":0.1", "-1:0.1", ";;"} {
+			other := *ro
+			other.Former = map[catalog.FormerService]uint64{{Address: addresses[0], Service: "b"}: 97}
+			data, err := EncodeRoutes(&other)
+			So(err, ShouldBeNil)
+			var en encodedRoutes
+			So(cbor.Unmarshal(data, &en), ShouldBeNil)
+			So(en.HealthPaths, ShouldResemble, ro.HealthPaths)
+			en.HealthPaths[formerKey] = text
+			data, err = cbor.Marshal(en)
+			So(err, ShouldBeNil)
+			back, err := DecodeRoutes(data)
+			So(err, ShouldBeNil)
+			So(back.Former, ShouldBeEmpty)
+			So(back.HealthPaths, ShouldResemble, ro.HealthPaths)
+		}
+	})
+}
--- a/internal/protocol/waybill/routes.go
+++ b/internal/protocol/waybill/routes.go
@@ -54,13 +54,14 @@
 
 // EncodeRoutes returns the routes in CBOR. Equal routes give equal bytes.
 func EncodeRoutes(ro *catalog.Routes) ([]byte, error) {
-	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout, HealthPaths: extendedHealthPaths(ro)}
+	en := encodedRoutes{Version: ro.Version, IdleTimeout: ro.IdleTimeout}
 	indexes := make(map[string]uint32)
 	addresses := make([]netip.AddrPort, 0, len(ro.Addresses))
 	for address := range ro.Addresses {
 		addresses = append(addresses, address)
 	}
 	slices.SortFunc(addresses, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	en.HealthPaths = extendedHealthPaths(ro, addresses)
 	for _, address := range addresses {
 		found := ro.Addresses[address]
 		er := encodedRoute{Address: address, LatencyTarget: found.LatencyTarget, Priority: found.Priority}
@@ -89,19 +90,26 @@
 	if err := cbor.Unmarshal(data, &en); err != nil {
 		return nil, errors.Wrap(err, "decode routes")
 	}
-	coverage := takeCoverage(en.HealthPaths, en.Version)
+	coverage, former := takeCoverage(en.HealthPaths, en.Version), takeFormer(en.HealthPaths)
 	healthPaths, warmUps := splitWarmUps(en.HealthPaths)
 	ro := &catalog.Routes{
 		Version: en.Version, Coverage: coverage, IdleTimeout: en.IdleTimeout, HealthPaths: healthPaths, WarmUps: warmUps,
 		Addresses: make(map[netip.AddrPort]catalog.Route, len(en.Routes)),
 	}
-	for _, found := range en.Routes {
+	if len(former) > 0 {
+		ro.Former = make(map[catalog.FormerService]uint64, len(former))
+	}
+	for i, found := range en.Routes {
 		de := make(catalog.WeightedServices, 0, len(found.Services))
-		for _, ew := range found.Services {
+		for k, ew := range found.Services {
 			if int(ew.Service) >= len(en.Services) {
 				return nil, errors.Wrap(ErrMalformed, "decode routes: service index out of range")
 			}
-			de = append(de, catalog.WeightedService{Service: en.Services[ew.Service], Weight: ew.Weight})
+			ws := catalog.WeightedService{Service: en.Services[ew.Service], Weight: ew.Weight}
+			de = append(de, ws)
+			if version, ok := former[formerIndex{route: i, service: k}]; ok && ws.Weight == 0 {
+				ro.Former[catalog.FormerService{Address: found.Address, Service: ws.Service}] = version
+			}
 		}
 		ro.Addresses[found.Address] = catalog.Route{Services: de, LatencyTarget: found.LatencyTarget, Priority: found.Priority}
 	}
--- a/internal/state/catalog/routes.go
+++ b/internal/state/catalog/routes.go
@@ -14,6 +14,9 @@
 	Coverage
 	// Addresses are the addresses that callers may open flows to.
 	Addresses map[netip.AddrPort]Route
+	// Former are the versions by which addresses have lost the services that they name with
+	// a weight of zero. One that isn't there may have been lost by this version.
+	Former map[FormerService]uint64
 	// HealthPaths are the HTTP paths at which hosts report their health, by the
 	// name of their service.
 	HealthPaths map[string]string
