perf(carriage): a young balancer doesn't wait for a confirmation before a reset

Cause: a balancer that may not know former services asks the agents of all services in any case. With more than 128 agents of other services it waited for the confirmation of its routes as well, which proves nothing that their answers don't.

Change: only a balancer that knows the former services waits. carrier's tests pass.

--- a/internal/coordination/carriage/proof.go
+++ b/internal/coordination/carriage/proof.go
@@ -43,7 +43,7 @@
 // host has checked out need not answer. One that does, and doesn't say Absent, has a host
 // that has started since. It returns the number of agents of which that was proved.
 func (pl *Placer) provedAbsent(now time.Time, tf *trackedFlow) (agents int, proved bool) {
-	if !pl.viewComplete(now) || pl.awaitsConfirmation(tf) {
+	if !pl.viewComplete(now) || pl.awaitsConfirmation(now, tf) {
 		return 0, false
 	}
 	list := pl.mayHold(now, tf)
@@ -146,8 +146,7 @@
 	if pl.routes == nil {
 		return nil
 	}
-	knowsFormer := now.Sub(pl.started) >= pl.lifetime && pl.routes.IsComplete(now)
-	if knowsFormer && (pl.isConfirmed(tf) || pl.awaitsConfirmation(tf)) {
+	if pl.knowsFormerServices(now) && (pl.isConfirmed(tf) || pl.awaitsConfirmation(now, tf)) {
 		return nil
 	}
 	ro, ok := pl.routes.Addresses[tf.flow.Service]
@@ -164,6 +163,12 @@
 	return list
 }
 
+// knowsFormerServices reports whether the routes name all services that an address has had
+// for a flow's lifetime, up to their version.
+func (pl *Placer) knowsFormerServices(now time.Time) bool {
+	return now.Sub(pl.started) >= pl.lifetime && pl.routes.IsComplete(now)
+}
+
 // isConfirmed reports whether the routes are known to have been the newest since the search
 // for the flow began. Before that a version may exist that the balancer doesn't have yet,
 // and the flow may have been opened under it.
@@ -172,9 +177,10 @@
 }
 
 // awaitsConfirmation reports whether the absence of the flow can't be proved before the
-// routes are confirmed, as the address lacks too many agents to ask all of them meanwhile.
-func (pl *Placer) awaitsConfirmation(tf *trackedFlow) bool {
-	if pl.isConfirmed(tf) {
+// routes are confirmed, as there are too many agents of other services to ask all of them
+// only for the time until then.
+func (pl *Placer) awaitsConfirmation(now time.Time, tf *trackedFlow) bool {
+	if pl.isConfirmed(tf) || !pl.knowsFormerServices(now) {
 		return false
 	}
 	others := len(pl.agents)
--- a/internal/protocol/waybill/routes.go
+++ b/internal/protocol/waybill/routes.go
@@ -36,7 +36,7 @@
 	IdleTimeout time.Duration
 	Services    []string
 	Routes      []encodedRoute
-	// HealthPaths also holds the warm-up limits and the coverage; see extendedHealthPaths.
+	// HealthPaths also holds what was added later; see extendedHealthPaths.
 	HealthPaths map[string]string
 }
 
